--- /dev/null
+++ b/org.cowslipyoke/src/main/java/org/cowslipyoke/blocks/package-info.java
@@ -0,0 +1,5 @@
+/** Keys, seals and placement of KV cache blocks. */
+@NullMarked
+package org.cowslipyoke.blocks;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/org.cowslipyoke/src/main/java/org/cowslipyoke/platform/StoreVm.java
@@ -0,0 +1,48 @@
+package org.cowslipyoke.platform;
+
+import io.vavr.control.Either;
+import java.util.List;
+import java.util.Optional;
+import org.cowslipyoke.blocks.BlockKey;
+import org.cowslipyoke.blocks.BlockSeal;
+import org.cowslipyoke.errors.Failure;
+
+/**
+ * A store VM with a memory tier and a disk tier for KV blocks.
+ *
+ * <p>A block is written as data under (key, generation), then sealed. Only a sealed generation is
+ * readable. The store never reuses a generation of a key.
+ */
+public interface StoreVm {
+
+  /** Tier that holds a block. */
+  enum Tier {
+    MEMORY,
+    DISK
+  }
+
+  /** A sealed block that the store holds. */
+  record Held(BlockKey key, BlockSeal seal, Tier tier) {}
+
+  /**
+   * Data of one generation as it was read.
+   *
+   * @param generation generation that the bytes belong to
+   */
+  record Data(long generation, byte[] bytes) {}
+
+  /** Returns which of the keys the store holds sealed, in the order of the keys. */
+  Either<Failure, List<Held>> lookup(List<BlockKey> keys);
+
+  /** Opens a fresh generation of a key for writing. Fails with {@code OVERLOADED} if full. */
+  Either<Failure, Long> open(BlockKey key, int length);
+
+  /** Writes the data of an open generation. */
+  Either<Failure, Boolean> write(BlockKey key, long generation, byte[] bytes);
+
+  /** Seals a generation. */
+  Either<Failure, Boolean> seal(BlockKey key, BlockSeal seal);
+
+  /** Reads data of a generation; empty if it was freed. The reader checks it with the seal. */
+  Either<Failure, Optional<Data>> read(BlockKey key, long generation);
+}
--- /dev/null
+++ b/org.cowslipyoke/src/main/java/org/cowslipyoke/util/Rendezvous.java
@@ -0,0 +1,64 @@
+package org.cowslipyoke.util;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.List;
+import java.util.function.Function;
+
+/**
+ * Rendezvous (highest random weight) hashing.
+ *
+ * <p>Thaler and Ravishankar, "Using name-based mappings to increase hit rates", IEEE/ACM
+ * Transactions on Networking 6(1), 1998.
+ */
+public final class Rendezvous {
+
+  private Rendezvous() {}
+
+  /**
+   * Returns up to {@code count} nodes with the highest weight for the key, best first.
+   *
+   * @param key bytes to place
+   * @param nodes candidates
+   * @param id unique name of a node
+   * @param count maximum number of nodes returned
+   */
+  public static <N> List<N> top(
+      byte[] key, Collection<N> nodes, Function<N, String> id, int count) {
+    record Ranked<N>(N node, String id, long weight) {}
+
+    long seed = fnv(0xcbf29ce484222325L, key);
+    List<Ranked<N>> ranked = new ArrayList<>(nodes.size());
+    for (N n : nodes) {
+      String name = id.apply(n);
+      long w = mix(fnv(seed, name.getBytes(StandardCharsets.UTF_8)));
+      ranked.add(new Ranked<>(n, name, w));
+    }
+    Comparator<Ranked<N>> order =
+        (a, b) -> {
+          int c = Long.compareUnsigned(b.weight(), a.weight());
+          return c != 0 ? c : a.id().compareTo(b.id());
+        };
+    ranked.sort(order);
+    return ranked.stream().limit(count).map(Ranked::node).toList();
+  }
+
+  /** FNV-1a with 64 bits. */
+  private static long fnv(long seed, byte[] bytes) {
+    long h = seed;
+    for (byte b : bytes) {
+      h ^= b & 0xff;
+      h *= 0x100000001b3L;
+    }
+    return h;
+  }
+
+  /** Finalizer of SplitMix64; FNV alone leaves the high bits of similar names correlated. */
+  private static long mix(long h) {
+    long z = (h ^ (h >>> 30)) * 0xbf58476d1ce4e5b9L;
+    z = (z ^ (z >>> 27)) * 0x94d049bb133111ebL;
+    return z ^ (z >>> 31);
+  }
+}
