--- a/org.cowslipyoke/src/main/java/org/cowslipyoke/message/Message.java
+++ b/org.cowslipyoke/src/main/java/org/cowslipyoke/message/Message.java
@@ -171,4 +171,12 @@
 
   /** Carries nothing but the document versions in its envelope. */
   record Notice() implements Message {}
+
+  /**
+   * Ends a stream, or the connection if the stream id is 0. Sent and consumed by the transport; it
+   * never reaches a stream handler.
+   *
+   * @param kind {@code CANCELLED} for a regular close, else the error
+   */
+  record StreamClosed(ErrorKind kind, String message) implements Message {}
 }
