--- /dev/null
+++ b/org.cowslipyoke/src/main/java/org/cowslipyoke/claim/package-info.java
@@ -0,0 +1,5 @@
+/** Idempotency records in the platform's table. */
+@NullMarked
+package org.cowslipyoke.claim;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/org.cowslipyoke/src/main/java/org/cowslipyoke/request/package-info.java
@@ -0,0 +1,5 @@
+/** The state machines of one request at the entry. */
+@NullMarked
+package org.cowslipyoke.request;
+
+import org.jspecify.annotations.NullMarked;
