Use the shared manual clock in the tests of the state machines

Cause: the merged tests named a clock that the shared fakes replace, so the test module did not compile.

Change: imports of org.cowslipyoke.fake.ManualClock in the tests of request.

--- a/org.cowslipyoke.test/src/test/java/org/cowslipyoke/request/RunFixture.java
+++ b/org.cowslipyoke.test/src/test/java/org/cowslipyoke/request/RunFixture.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 import org.cowslipyoke.errors.ErrorKind;
 import org.cowslipyoke.errors.Failure;
+import org.cowslipyoke.fake.ManualClock;
 import org.cowslipyoke.message.Message;
 import org.cowslipyoke.platform.VmList;
 import org.cowslipyoke.platform.VmList.Vm;
@@ -16,7 +17,6 @@
 import org.cowslipyoke.routing.RoutingPolicy;
 import org.cowslipyoke.suspect.SuspectList;
 import org.cowslipyoke.util.Digests;
-import org.cowslipyoke.util.ManualClock;
 
 /** A run with a manual clock; collects all actions in order. */
 final class RunFixture {
--- a/org.cowslipyoke.test/src/test/java/org/cowslipyoke/request/ServiceRunTest.java
+++ b/org.cowslipyoke.test/src/test/java/org/cowslipyoke/request/ServiceRunTest.java
@@ -10,6 +10,7 @@
 import org.cowslipyoke.errors.ErrorKind;
 import org.cowslipyoke.errors.Failure;
 import org.cowslipyoke.errors.Outcome;
+import org.cowslipyoke.fake.ManualClock;
 import org.cowslipyoke.message.Message;
 import org.cowslipyoke.message.Message.ServiceReply;
 import org.cowslipyoke.platform.VmList.Vm;
@@ -17,7 +18,6 @@
 import org.cowslipyoke.routing.RetryBudget;
 import org.cowslipyoke.suspect.SuspectList;
 import org.cowslipyoke.util.Digests;
-import org.cowslipyoke.util.ManualClock;
 import org.junit.jupiter.api.Test;
 
 /** Guards against a repeated call of a service that must not be repeated. */
