--- a/org.cowslipyoke/src/main/java/org/cowslipyoke/config/internal/SectionParts.java
+++ b/org.cowslipyoke/src/main/java/org/cowslipyoke/config/internal/SectionParts.java
@@ -7,7 +7,6 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
-import org.cowslipyoke.config.MergePatch;
 import org.cowslipyoke.errors.ErrorKind;
 import org.cowslipyoke.errors.Failure;
 
@@ -39,11 +38,18 @@
 
   /** Returns the content that the parts hold. */
   public static ObjectNode join(List<ObjectNode> parts) {
-    JsonNode content = JsonNodeFactory.instance.objectNode();
+    ObjectNode content = JsonNodeFactory.instance.objectNode();
     for (ObjectNode p : parts) {
-      content = MergePatch.apply(content, p);
+      for (Map.Entry<String, JsonNode> field : p.properties()) {
+        if (content.get(field.getKey()) instanceof ObjectNode present
+            && field.getValue() instanceof ObjectNode more) {
+          present.setAll(more);
+        } else {
+          content.set(field.getKey(), field.getValue());
+        }
+      }
     }
-    return (ObjectNode) content;
+    return content;
   }
 
   private static List<String> partsOf(ObjectNode content, int count) {
