Add HTTP clients of the platform and stand-ins for them

HttpConnector bounds connections, queue, time and answer size and tells a request that was not sent from an answer that was lost. The stand-ins run as processes or inside tests and have fault switches.

--- /dev/null
+++ b/org.cowslipyoke.http/src/main/java/org/cowslipyoke/http/HttpConnector.java
@@ -0,0 +1,259 @@
+package org.cowslipyoke.http;
+
+import io.vavr.control.Either;
+import java.io.InputStream;
+import java.net.URI;
+import java.util.List;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.stream.Stream;
+import org.cowslipyoke.http.internal.AnswerCollector;
+import org.eclipse.jetty.client.AbstractConnectionPool;
+import org.eclipse.jetty.client.BytesRequestContent;
+import org.eclipse.jetty.client.Destination;
+import org.eclipse.jetty.client.HttpClient;
+import org.eclipse.jetty.client.InputStreamResponseListener;
+import org.eclipse.jetty.client.Request;
+import org.eclipse.jetty.client.Response;
+import org.eclipse.jetty.client.Result;
+import org.eclipse.jetty.http.HttpCookieStore;
+import org.eclipse.jetty.http.HttpField;
+import org.eclipse.jetty.http.HttpHeader;
+import org.eclipse.jetty.util.thread.QueuedThreadPool;
+
+/**
+ * The HTTP client that all platform clients of a process share.
+ *
+ * <p>Every exchange has a deadline after which it is aborted and its connection closed, so a
+ * connection that went silent never stays in a pool. Nothing is retried and no redirect is
+ * followed.
+ */
+public final class HttpConnector implements AutoCloseable {
+
+  /** Media type of JSON bodies. */
+  static final String JSON = "application/json";
+
+  /** Media type of raw bodies. */
+  static final String BYTES = "application/octet-stream";
+
+  /** Time that the caller waits beyond the deadline for Jetty to report the abort. */
+  private static final long ABORT_GRACE_MS = 500;
+
+  /**
+   * Bounds.
+   *
+   * @param maxConnections connections to one address
+   * @param maxQueued requests that wait for a connection to one address
+   * @param maxAnswerBytes bytes of an answer that is read as a whole
+   */
+  public record Limits(
+      int maxConnections, int maxQueued, long connectTimeoutMs, int maxAnswerBytes) {
+
+    /** Returns the bounds used by daemons; a batch of an engine needs one connection per run. */
+    public static Limits defaults() {
+      return new Limits(256, 256, 1_000, 8 << 20);
+    }
+  }
+
+  /**
+   * A request.
+   *
+   * @param headers names and values, alternating
+   * @param contentType media type of the body, empty if there is no body
+   */
+  record Call(
+      String method, URI uri, List<String> headers, String contentType, byte[] body, long ms) {}
+
+  /** A whole answer. */
+  record Answer(int status, List<String> headers, byte[] body) {
+
+    /** Returns the first value of a header, empty if it is absent. */
+    String header(String name) {
+      for (int i = 0; i + 1 < headers.size(); i += 2) {
+        if (headers.get(i).equalsIgnoreCase(name)) {
+          return headers.get(i + 1);
+        }
+      }
+      return "";
+    }
+  }
+
+  /** What is known of an exchange that brought no answer. */
+  enum Loss {
+    /** No byte of the request was sent. */
+    NOT_SENT,
+    /** The request may have arrived; no complete answer did. */
+    ANSWER_LOST,
+    /** The request arrived; its answer exceeded the bound. */
+    ANSWER_TOO_LARGE
+  }
+
+  /** An exchange without an answer. */
+  record Broken(Loss loss, String message) {}
+
+  /**
+   * An answer that is read as a stream.
+   *
+   * @param abort aborts the exchange and closes its connection
+   */
+  record Streamed(int status, InputStream body, Runnable abort) {}
+
+  private final HttpClient client;
+  private final Limits limits;
+
+  private HttpConnector(HttpClient client, Limits limits) {
+    this.client = client;
+    this.limits = limits;
+  }
+
+  /**
+   * Starts a connector.
+   *
+   * @param name name of the own VM, sent as {@code User-Agent}
+   * @throws IllegalStateException if the client does not start
+   */
+  public static HttpConnector start(String name, Limits limits) {
+    HttpClient c = new HttpClient();
+    QueuedThreadPool threads = new QueuedThreadPool(16, 2);
+    threads.setName("http-client");
+    threads.setDaemon(true);
+    c.setExecutor(threads);
+    c.setMaxConnectionsPerDestination(limits.maxConnections());
+    c.setMaxRequestsQueuedPerDestination(limits.maxQueued());
+    c.setConnectTimeout(limits.connectTimeoutMs());
+    c.setAddressResolutionTimeout(limits.connectTimeoutMs());
+    c.setIdleTimeout(30_000);
+    c.setFollowRedirects(false);
+    c.setHttpCookieStore(new HttpCookieStore.Empty());
+    c.setUserAgentField(new HttpField(HttpHeader.USER_AGENT, name));
+    try {
+      c.start();
+    } catch (Exception e) {
+      throw new IllegalStateException("the HTTP client does not start", e);
+    }
+    c.getProtocolHandlers().clear();
+    c.getContentDecoderFactories().clear();
+    return new HttpConnector(c, limits);
+  }
+
+  /** Sends a request and waits for its whole answer, at most until the deadline of the call. */
+  Either<Broken, Answer> send(Call call) {
+    AtomicBoolean begun = new AtomicBoolean();
+    AnswerCollector collector = new AnswerCollector(limits.maxAnswerBytes());
+    Request r;
+    try {
+      r = request(call, begun).timeout(call.ms(), TimeUnit.MILLISECONDS);
+    } catch (IllegalArgumentException e) {
+      return Either.left(new Broken(Loss.NOT_SENT, "malformed address or header"));
+    }
+    r.send(collector);
+    Result result;
+    try {
+      result = collector.done().get(call.ms() + ABORT_GRACE_MS, TimeUnit.MILLISECONDS);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+      abort(r, e);
+      return Either.left(new Broken(Loss.ANSWER_LOST, "interrupted"));
+    } catch (ExecutionException | TimeoutException e) {
+      abort(r, e);
+      return Either.left(new Broken(Loss.ANSWER_LOST, "no answer within " + call.ms() + " ms"));
+    }
+    if (collector.isTooLarge()) {
+      return Either.left(
+          new Broken(
+              Loss.ANSWER_TOO_LARGE, "answer exceeds " + limits.maxAnswerBytes() + " bytes"));
+    }
+    if (result.isFailed()) {
+      return Either.left(broken(begun, String.valueOf(result.getFailure())));
+    }
+    Response response = result.getResponse();
+    return Either.right(new Answer(response.getStatus(), headers(response), collector.body()));
+  }
+
+  /**
+   * Sends a request and returns its answer as a stream.
+   *
+   * @param idleMs time without a byte after which the exchange is aborted
+   */
+  Either<Broken, Streamed> stream(Call call, long idleMs) {
+    AtomicBoolean begun = new AtomicBoolean();
+    InputStreamResponseListener listener = new InputStreamResponseListener();
+    Request r;
+    try {
+      r =
+          request(call, begun)
+              .timeout(call.ms(), TimeUnit.MILLISECONDS)
+              .idleTimeout(idleMs, TimeUnit.MILLISECONDS);
+    } catch (IllegalArgumentException e) {
+      return Either.left(new Broken(Loss.NOT_SENT, "malformed address or header"));
+    }
+    r.send(listener);
+    try {
+      Response response = listener.get(idleMs + ABORT_GRACE_MS, TimeUnit.MILLISECONDS);
+      Runnable abort = () -> abort(r, new IllegalStateException("reader stopped"));
+      return Either.right(new Streamed(response.getStatus(), listener.getInputStream(), abort));
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+      abort(r, e);
+      return Either.left(new Broken(Loss.ANSWER_LOST, "interrupted"));
+    } catch (ExecutionException e) {
+      abort(r, e);
+      return Either.left(broken(begun, String.valueOf(e.getCause())));
+    } catch (TimeoutException e) {
+      abort(r, e);
+      return Either.left(new Broken(Loss.ANSWER_LOST, "no answer within " + idleMs + " ms"));
+    }
+  }
+
+  @Override
+  public void close() {
+    try {
+      client.stop();
+    } catch (Exception e) {
+      throw new IllegalStateException("the HTTP client does not stop", e);
+    }
+  }
+
+  /** Returns the number of open connections, for tests and metrics. */
+  public int openConnections() {
+    return client.getDestinations().stream()
+        .map(Destination::getConnectionPool)
+        .mapToInt(p -> p instanceof AbstractConnectionPool a ? a.getConnectionCount() : 0)
+        .sum();
+  }
+
+  private Request request(Call call, AtomicBoolean begun) {
+    Request r = client.newRequest(call.uri()).method(call.method());
+    r.onRequestBegin(x -> begun.set(true));
+    r.headers(
+        h -> {
+          for (int i = 0; i + 1 < call.headers().size(); i += 2) {
+            h.add(call.headers().get(i), call.headers().get(i + 1));
+          }
+        });
+    if (!call.contentType().isEmpty()) {
+      r.body(new BytesRequestContent(call.contentType(), call.body()));
+    }
+    return r;
+  }
+
+  /**
+   * Jetty reports "begin" after it took a connection and before it writes the first byte, so a
+   * request that did not begin was not sent.
+   */
+  private static Broken broken(AtomicBoolean begun, String message) {
+    return new Broken(begun.get() ? Loss.ANSWER_LOST : Loss.NOT_SENT, message);
+  }
+
+  private static void abort(Request r, Throwable cause) {
+    var unused = r.abort(cause);
+  }
+
+  private static List<String> headers(Response response) {
+    return response.getHeaders().stream()
+        .flatMap(f -> Stream.of(f.getName(), f.getValue()))
+        .toList();
+  }
+}
--- /dev/null
+++ b/org.cowslipyoke.http/src/main/java/org/cowslipyoke/http/internal/MalformedAnswerException.java
@@ -0,0 +1,12 @@
+package org.cowslipyoke.http.internal;
+
+/** An answer that does not have the documented format. */
+public final class MalformedAnswerException extends Exception {
+
+  private static final long serialVersionUID = 1L;
+
+  /** Creates an exception; the message must not quote the answer. */
+  public MalformedAnswerException(String message) {
+    super(message);
+  }
+}
--- /dev/null
+++ b/org.cowslipyoke.http/src/main/java/org/cowslipyoke/http/internal/package-info.java
@@ -0,0 +1,5 @@
+/** Parts of the clients that other modules must not use. */
+@NullMarked
+package org.cowslipyoke.http.internal;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/org.cowslipyoke.standin/src/main/java/org/cowslipyoke/standin/EngineOrders.java
@@ -0,0 +1,164 @@
+package org.cowslipyoke.standin;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.List;
+
+/** What an engine has loaded, and the orders that change it; guarded by the engine model. */
+final class EngineOrders {
+
+  /** Result of an order. */
+  enum Result {
+    ACCEPTED,
+    OUTDATED,
+    UNKNOWN_KIND
+  }
+
+  private static final int MAX_HISTORY = 200;
+
+  private final Options settings;
+  private final Deque<ObjectNode> history = new ArrayDeque<>();
+  private final List<String> adapters = new ArrayList<>();
+  private String model = "";
+  private String weightVersion = "";
+  private String engineRole = "";
+  private long fencingNumber;
+  private long loadSerial;
+  private boolean loading;
+  private long accepted;
+  private long outdated;
+
+  EngineOrders(Options settings) {
+    this.settings = settings;
+    restart();
+  }
+
+  /** Returns to the initial state; the fencing number survives. */
+  void restart() {
+    model = settings.text("model");
+    weightVersion = settings.text("weightVersion");
+    engineRole = settings.text("engineRole");
+    adapters.clear();
+    settings.node("adapters").forEach(a -> adapters.add(a.asText()));
+    loading = false;
+    loadSerial++;
+  }
+
+  /** Judges an order and starts it. A started load is ended by {@link #finishLoad}. */
+  Result begin(JsonNode order) {
+    long number = order.path("fencingNumber").asLong();
+    boolean enforced = settings.text("fencing").equals("enforced");
+    boolean old = number < fencingNumber;
+    history.add(
+        ((ObjectNode) order).deepCopy().put("outdated", old).put("refused", old && enforced));
+    if (history.size() > MAX_HISTORY) {
+      history.remove();
+    }
+    if (old) {
+      outdated++;
+      if (enforced) {
+        return Result.OUTDATED;
+      }
+    }
+    fencingNumber = Math.max(fencingNumber, number);
+    switch (order.path("kind").asText()) {
+      case "load", "load_adapter" -> {
+        loading = true;
+        loadSerial++;
+      }
+      case "unload_adapter" -> adapters.remove(order.path("adapter").asText());
+      case "role" -> engineRole = order.path("engineRole").asText();
+      default -> {
+        return Result.UNKNOWN_KIND;
+      }
+    }
+    accepted++;
+    return Result.ACCEPTED;
+  }
+
+  long loadSerial() {
+    return loadSerial;
+  }
+
+  boolean isLoading() {
+    return loading;
+  }
+
+  /** Ends a load; returns whether other weights are loaded now. */
+  boolean finishLoad(JsonNode order, long serial, boolean succeeded) {
+    if (serial != loadSerial) {
+      return false;
+    }
+    loading = false;
+    if (!succeeded) {
+      return false;
+    }
+    if (order.path("kind").asText().equals("load_adapter")) {
+      String a = order.path("adapter").asText();
+      adapters.remove(a);
+      adapters.add(a);
+      return false;
+    }
+    if (!model.equals(order.path("model").asText())) {
+      adapters.clear();
+    }
+    model = order.path("model").asText();
+    weightVersion = order.path("weightVersion").asText();
+    return true;
+  }
+
+  /** Waits as long as the load takes; called without the lock of the model. */
+  boolean transfer(JsonNode order) throws InterruptedException {
+    if (order.path("kind").asText().equals("load_adapter")) {
+      Thread.sleep(settings.number("adapterLoadMs"));
+      return true;
+    }
+    String store = settings.text("weightStore");
+    if (store.isEmpty()) {
+      Thread.sleep(settings.number("weightLoadMs"));
+      return true;
+    }
+    HttpRequest r =
+        HttpRequest.newBuilder(URI.create(store + "/v1/loads"))
+            .timeout(Duration.ofSeconds(60))
+            .POST(HttpRequest.BodyPublishers.ofString(order.toString()))
+            .build();
+    try {
+      HttpClient c = HttpClient.newBuilder().connectTimeout(Duration.ofSeconds(1)).build();
+      return c.send(r, HttpResponse.BodyHandlers.discarding()).statusCode() == 200;
+    } catch (IOException e) {
+      return false;
+    }
+  }
+
+  boolean serves(String wantedModel, String adapter) {
+    return wantedModel.equals(model) && (adapter.isEmpty() || adapters.contains(adapter));
+  }
+
+  String weightVersion() {
+    return weightVersion;
+  }
+
+  void write(ObjectNode out) {
+    out.put("model", model).put("weightVersion", weightVersion).put("engineRole", engineRole);
+    out.put("loading", loading).put("fencingNumber", fencingNumber);
+    ArrayNode list = out.putArray("adapters");
+    adapters.forEach(list::add);
+  }
+
+  void stats(ObjectNode out) {
+    out.put("ordersAccepted", accepted).put("ordersOutdated", outdated);
+    ArrayNode list = out.putArray("orders");
+    history.forEach(list::add);
+  }
+}
--- /dev/null
+++ b/org.cowslipyoke.test/src/test/java/org/cowslipyoke/http/HttpFixture.java
@@ -0,0 +1,55 @@
+package org.cowslipyoke.http;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.Socket;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.BooleanSupplier;
+import org.cowslipyoke.standin.Kind;
+import org.cowslipyoke.standin.StandIn;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Assertions;
+
+/** A connector and the stand-ins that a test starts. */
+abstract class HttpFixture {
+
+  static final long TIMEOUT_MS = 2_000;
+
+  final HttpConnector connector =
+      HttpConnector.start("test", new HttpConnector.Limits(2, 4, 1_000, 4 << 20));
+  private final List<StandIn> standIns = new ArrayList<>();
+
+  StandIn start(Kind kind, String settings) {
+    StandIn s = StandIn.start(kind, settings);
+    standIns.add(s);
+    return s;
+  }
+
+  /** Sets the outage {@code refuse} and waits until the port refuses connections. */
+  static void refuse(StandIn s) {
+    s.faults("{\"outage\": \"refuse\"}");
+    await(
+        () -> {
+          try (var socket = new Socket(InetAddress.getLoopbackAddress(), s.port())) {
+            return !socket.isConnected();
+          } catch (IOException e) {
+            return true;
+          }
+        });
+  }
+
+  static void await(BooleanSupplier condition) {
+    long end = System.nanoTime() + 10_000_000_000L;
+    while (!condition.getAsBoolean()) {
+      Assertions.assertTrue(System.nanoTime() < end, "condition not met within 10 s");
+      Thread.onSpinWait();
+    }
+  }
+
+  @AfterEach
+  void closeAll() {
+    connector.close();
+    standIns.forEach(StandIn::close);
+  }
+}
