--- a/org.cowslipyoke/src/main/java/org/cowslipyoke/request/Execution.java
+++ b/org.cowslipyoke/src/main/java/org/cowslipyoke/request/Execution.java
@@ -153,8 +153,10 @@
     if (a == null) {
       return false;
     }
-    long channel = a.channel() < 0 ? out.newChannel() : a.channel();
-    out.add(new Action.Cancel(channel, a.server(), messages.cancel()));
+    // A server applies a cancel to the stream of the run only; without one it drops the run itself.
+    if (a.channel() >= 0) {
+      out.add(new Action.Cancel(a.channel(), a.server(), messages.cancel()));
+    }
     attempt = null;
     return true;
   }
--- a/org.cowslipyoke/src/main/java/org/cowslipyoke/suspect/SuspectList.java
+++ b/org.cowslipyoke/src/main/java/org/cowslipyoke/suspect/SuspectList.java
@@ -70,6 +70,8 @@
   private final AtomicReference<Snapshot> current =
       new AtomicReference<>(new Snapshot(0, Map.of()));
 
+  private final AtomicReference<Map<String, Integer>> unwritten = new AtomicReference<>(Map.of());
+
   /** Returns the list in force. */
   public Snapshot current() {
     return Objects.requireNonNull(current.get());
@@ -88,12 +90,22 @@
     }
   }
 
+  /**
+   * Replaces the crashes, by digest, that this process has seen but that no version of the list
+   * holds yet. They count in {@link #standing} of this process only.
+   */
+  public void setUnwritten(Map<String, Integer> crashes) {
+    unwritten.set(Map.copyOf(crashes));
+  }
+
   /** Returns how a request with the digest is to be treated. */
   public Standing standing(String digest, long wallMs) {
     Entry e = current().entries().get(digest);
-    if (e == null || wallMs - e.sinceWallMs() > TTL_MS) {
+    int listed = e == null || wallMs - e.sinceWallMs() > TTL_MS ? 0 : e.crashes();
+    int crashes = listed + Objects.requireNonNull(unwritten.get()).getOrDefault(digest, 0);
+    if (crashes == 0) {
       return Standing.CLEAR;
     }
-    return e.crashes() >= MAX_CRASHES ? Standing.QUARANTINED : Standing.SUSPECT;
+    return crashes >= MAX_CRASHES ? Standing.QUARANTINED : Standing.SUSPECT;
   }
 }
