--- /dev/null
+++ b/org.cowslipyoke.test/src/test/java/org/cowslipyoke/matrix/Timeline.java
@@ -0,0 +1,38 @@
+package org.cowslipyoke.matrix;
+
+import java.util.Comparator;
+import java.util.PriorityQueue;
+import org.cowslipyoke.fake.ManualClock;
+
+/** Runs scheduled steps in order of their time on a manual clock. */
+final class Timeline {
+
+  private record Event(long atMs, long sequence, Runnable step) {}
+
+  private final ManualClock clock;
+  private final PriorityQueue<Event> events =
+      new PriorityQueue<>(Comparator.comparingLong(Event::atMs).thenComparing(Event::sequence));
+  private long sequence;
+
+  Timeline(ManualClock clock) {
+    this.clock = clock;
+  }
+
+  void after(long ms, Runnable step) {
+    events.add(new Event(clock.nowMs() + ms, sequence++, step));
+  }
+
+  /** Runs all steps up to a time; returns false if the time was reached with steps left. */
+  boolean run(long untilMs) {
+    while (!events.isEmpty()) {
+      Event e = events.peek();
+      if (e.atMs() > untilMs) {
+        return false;
+      }
+      events.remove();
+      clock.advance(Math.max(0, e.atMs() - clock.nowMs()));
+      e.step().run();
+    }
+    return true;
+  }
+}
