Add the server role

A daemon in the slot beside a backend server answers probes, starts, resumes and service calls, drives the engine, and moves KV blocks.

--- /dev/null
+++ b/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/server/EngineSide.java
@@ -0,0 +1,68 @@
+package org.cowslipyoke.daemon.server;
+
+import java.util.HexFormat;
+import java.util.random.RandomGenerator;
+import org.cowslipyoke.admission.ServerAdmission;
+import org.cowslipyoke.admission.ServerStanding;
+import org.cowslipyoke.blocks.CacheView;
+import org.cowslipyoke.daemon.runtime.DaemonContext;
+import org.cowslipyoke.platform.ModelEngine;
+import org.cowslipyoke.util.Clock;
+
+/**
+ * What a server daemon runs for a model engine.
+ *
+ * @param network store VMs and the links to them
+ */
+record EngineSide(
+    ServerAdmission admission,
+    StoreNetwork network,
+    BlockExporter exporter,
+    RunDriver driver,
+    EngineMonitor monitor,
+    ModelServer model) {
+
+  /** Connects the parts for one engine. */
+  static EngineSide create(
+      DaemonContext context,
+      Backends backends,
+      ModelEngine engine,
+      ServerStanding standing,
+      RunRegistry registry,
+      ServerMetrics metrics,
+      ServerPools pools) {
+    Clock clock = context.clock();
+    RandomGenerator random = backends.random();
+    ServerAdmission admission =
+        new ServerAdmission(clock, standing, context.configuration(), context.suspects(), random);
+    metrics.watch(admission);
+    StoreNetwork network =
+        new StoreNetwork(clock, context.configuration(), backends.stores(), random, metrics);
+    BlockExporter exporter = new BlockExporter(clock, context.configuration(), network, engine);
+    EngineExecution execution = new EngineExecution(clock, engine, admission, metrics, exporter);
+    RunDriver driver = new RunDriver(admission, registry, execution, metrics, pools.runs());
+    CacheView cache = new CacheView();
+    BlockImporter importer = new BlockImporter(clock, network, engine, cache, pools.transfers());
+    ModelServer model =
+        new ModelServer(
+            clock,
+            standing,
+            admission,
+            registry,
+            driver,
+            importer,
+            metrics,
+            pools.lookups(),
+            () -> runId(random));
+    EngineMonitor monitor = new EngineMonitor(engine, admission, driver, cache);
+    return new EngineSide(admission, network, exporter, driver, monitor, model);
+  }
+
+  private static String runId(RandomGenerator random) {
+    byte[] id = new byte[12];
+    synchronized (random) {
+      random.nextBytes(id);
+    }
+    return HexFormat.of().formatHex(id);
+  }
+}
--- /dev/null
+++ b/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/server/Requests.java
@@ -0,0 +1,41 @@
+package org.cowslipyoke.daemon.server;
+
+import org.cowslipyoke.admission.AdmissionRequest;
+import org.cowslipyoke.admission.PriorityClass;
+import org.cowslipyoke.blocks.BlockChain;
+import org.cowslipyoke.message.Message.Probe;
+import org.cowslipyoke.message.Message.Start;
+
+/** Maps messages to what admission knows about a request. */
+final class Requests {
+
+  private Requests() {}
+
+  static AdmissionRequest of(Probe p) {
+    return new AdmissionRequest(
+        p.requestId(),
+        p.organisation(),
+        p.model(),
+        p.adapter(),
+        p.weightVersion(),
+        p.digest(),
+        PriorityClass.of(p.priority()),
+        p.promptTokens(),
+        p.deadlineMs(),
+        p.suspect());
+  }
+
+  static AdmissionRequest of(Start s) {
+    return new AdmissionRequest(
+        s.requestId(),
+        s.organisation(),
+        s.model(),
+        s.adapter(),
+        s.weightVersion(),
+        s.digest(),
+        PriorityClass.of(s.priority()),
+        BlockChain.tokens(s.prompt().length + s.generatedPrefix().length),
+        s.deadlineMs(),
+        s.suspect());
+  }
+}
--- /dev/null
+++ b/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/server/ServerRole.java
@@ -0,0 +1,160 @@
+package org.cowslipyoke.daemon.server;
+
+import java.util.Optional;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.cowslipyoke.admission.ServerAdmission;
+import org.cowslipyoke.admission.ServerStanding;
+import org.cowslipyoke.daemon.runtime.DaemonContext;
+import org.cowslipyoke.daemon.runtime.Role;
+import org.cowslipyoke.daemon.runtime.Settings;
+import org.cowslipyoke.message.Message.Hello;
+import org.cowslipyoke.platform.ModelEngine;
+import org.cowslipyoke.platform.PlainService;
+import org.cowslipyoke.platform.VmList.State;
+import org.cowslipyoke.transport.MessageStream;
+import org.cowslipyoke.transport.StreamHandler;
+import org.eclipse.jetty.server.Handler;
+import org.eclipse.jetty.server.Request;
+import org.eclipse.jetty.server.Response;
+import org.eclipse.jetty.util.Callback;
+import org.jspecify.annotations.Nullable;
+
+/** The role in the slot beside a backend server. */
+public final class ServerRole implements Role {
+
+  private static final Logger LOG = LogManager.getLogger(ServerRole.class);
+
+  /** Interval at which the own row of the VM list is read, in milliseconds. */
+  private static final long OWN_ROW_MS = 2_000;
+
+  /** Interval at which the store VMs are read from the list, in milliseconds. */
+  private static final long STORES_MS = 10_000;
+
+  /** Interval at which runs without a stream are looked for, in milliseconds. */
+  private static final long EXPIRE_MS = 1_000;
+
+  /** Length of one round of exports, in milliseconds. */
+  private static final long EXPORT_MS = 200;
+
+  private final DaemonContext context;
+  private final Settings.Backend backend;
+  private final ServerStanding standing;
+  private final RunRegistry registry = new RunRegistry();
+  private final ServerPools pools = ServerPools.create();
+  private final Periodic periodic;
+  private final @Nullable EngineSide engineSide;
+  private final @Nullable ServiceRunner service;
+
+  /**
+   * Creates the role of a server.
+   *
+   * @throws IllegalArgumentException if the settings name no backend
+   */
+  public ServerRole(DaemonContext context, Backends backends) {
+    Settings settings = context.settings();
+    if (settings.backend() == null) {
+      throw new IllegalArgumentException("role server needs the setting backend");
+    }
+    this.context = context;
+    this.backend = settings.backend();
+    this.standing =
+        new ServerStanding(context.configuration(), context.pauses(), settings.failureDomain());
+    this.periodic = new Periodic(context.scheduler(), context.workers(), backends.random());
+    ServerMetrics metrics = new ServerMetrics(context.meters());
+    ModelEngine engine = backends.engine();
+    this.engineSide =
+        engine == null
+            ? null
+            : EngineSide.create(context, backends, engine, standing, registry, metrics, pools);
+    PlainService plain = backends.service();
+    this.service =
+        plain == null
+            ? null
+            : new ServiceRunner(context.clock(), plain, standing, metrics, pools.runs());
+  }
+
+  @Override
+  public StreamHandler accept(Hello peer, MessageStream stream) {
+    EngineSide e = engineSide;
+    return new ServerStream(context.workers(), e == null ? null : e.model(), service);
+  }
+
+  @Override
+  public Handler httpHandler() {
+    return new Handler.Abstract.NonBlocking() {
+      @Override
+      public boolean handle(Request request, Response response, Callback callback) {
+        return false;
+      }
+    };
+  }
+
+  @Override
+  public void start() {
+    periodic.every(OWN_ROW_MS, this::readOwnRow);
+    EngineSide e = engineSide;
+    if (e != null) {
+      periodic.every(EngineMonitor.INTERVAL_MS, e.monitor()::poll);
+      periodic.every(STORES_MS, this::readStores);
+      periodic.every(EXPIRE_MS, this::expire);
+      periodic.every(EXPORT_MS, () -> e.exporter().exportFor(EXPORT_MS));
+    }
+  }
+
+  @Override
+  public boolean isReady() {
+    EngineSide e = engineSide;
+    return e == null || !e.admission().weightVersion().isEmpty();
+  }
+
+  @Override
+  public void stopAdmitting() {
+    standing.stop();
+  }
+
+  @Override
+  public int running() {
+    ServiceRunner s = service;
+    return registry.owed() + (s == null ? 0 : s.running());
+  }
+
+  @Override
+  public void stop() {
+    periodic.stop();
+    pools.stop();
+  }
+
+  /** Returns the admission of the engine, with which orders to it are coordinated. */
+  public Optional<ServerAdmission> admission() {
+    return Optional.ofNullable(engineSide).map(EngineSide::admission);
+  }
+
+  /** Returns what runs for the engine, for tests that drive the role step by step. */
+  Optional<EngineSide> engineSide() {
+    return Optional.ofNullable(engineSide);
+  }
+
+  /** Reads the store VMs from the list. */
+  void readStores() {
+    engineSide().ifPresent(e -> e.network().refresh(context.vms(), backend.group()));
+  }
+
+  /** Reads the own row. The list is a hint; while it is unavailable the last state stays. */
+  void readOwnRow() {
+    context
+        .vms()
+        .find(context.settings().vm())
+        .peek(row -> standing.leaving(row.filter(v -> v.state() == State.LEAVING).isPresent()))
+        .peekLeft(f -> LOG.warn("reading the own row of the VM list failed: {}", f.kind()));
+    engineSide().ifPresent(e -> e.driver().pump());
+  }
+
+  /** Forgets old runs and cancels runs that no entry has come back for. */
+  void expire() {
+    for (Run r : registry.expire()) {
+      LOG.info("cancelling a run without a stream, attempt {}", r.start().attempt());
+      engineSide().ifPresent(e -> e.model().cancel(r));
+    }
+  }
+}
--- /dev/null
+++ b/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/server/StoreNetwork.java
@@ -0,0 +1,170 @@
+package org.cowslipyoke.daemon.server;
+
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.locks.LockSupport;
+import java.util.function.Function;
+import java.util.random.RandomGenerator;
+import org.cowslipyoke.admission.LinkBudget;
+import org.cowslipyoke.admission.LinkBudget.Purpose;
+import org.cowslipyoke.blocks.BlockPlacement;
+import org.cowslipyoke.blocks.StoreLinks;
+import org.cowslipyoke.config.Configuration;
+import org.cowslipyoke.config.Configuration.Store;
+import org.cowslipyoke.config.ConfigurationHolder;
+import org.cowslipyoke.platform.StoreVm;
+import org.cowslipyoke.platform.VmList;
+import org.cowslipyoke.platform.VmList.Role;
+import org.cowslipyoke.platform.VmList.Vm;
+import org.cowslipyoke.util.Clock;
+
+/** The store VMs that are known and the budgets of the links to them. Thread-safe. */
+final class StoreNetwork {
+
+  /** Budget of a link to a store group that the configuration does not name. */
+  private static final long DEFAULT_BYTES_PER_SECOND = 1 << 20;
+
+  /** Interval at which a waiting transfer asks for budget again, in nanoseconds. */
+  private static final long WAIT_STEP_NS = 2_000_000;
+
+  private record Link(StoreVm client, LinkBudget budget) {}
+
+  private final Clock clock;
+  private final ConfigurationHolder configuration;
+  private final Function<Vm, StoreVm> clients;
+  private final RandomGenerator random;
+  private final ServerMetrics metrics;
+  private final Map<Vm, Link> links = new ConcurrentHashMap<>();
+  private volatile int servers = 1;
+  private volatile BlockPlacement placement = new BlockPlacement(List.of(), 1);
+
+  StoreNetwork(
+      Clock clock,
+      ConfigurationHolder configuration,
+      Function<Vm, StoreVm> clients,
+      RandomGenerator random,
+      ServerMetrics metrics) {
+    this.clock = clock;
+    this.configuration = configuration;
+    this.clients = clients;
+    this.random = random;
+    this.metrics = metrics;
+  }
+
+  BlockPlacement placement() {
+    return placement;
+  }
+
+  /** Returns the number of servers in the own group, which share the quota of organisations. */
+  int servers() {
+    return servers;
+  }
+
+  /** Reads the list of store VMs; while the list is unavailable the known ones stay in use. */
+  void refresh(VmList vms, String group) {
+    vms.list().forEach(all -> update(all, group));
+  }
+
+  private void update(List<Vm> all, String group) {
+    long peers =
+        all.stream().filter(v -> v.role() == Role.SERVER && v.group().equals(group)).count();
+    servers = (int) Math.max(1, peers);
+    Map<String, Store> stores =
+        configuration.current().map(Configuration::places).map(p -> p.stores()).orElse(Map.of());
+    List<Vm> known = all.stream().filter(v -> v.role() == Role.STORE).toList();
+    int copies = 1;
+    for (Vm v : known) {
+      Store store = stores.get(v.group());
+      if (store != null) {
+        copies = Math.max(copies, store.copies());
+        link(v).budget().configure(store.linkBytesPerSecond());
+      }
+    }
+    placement = new BlockPlacement(known, copies);
+    links.keySet().retainAll(known);
+  }
+
+  /**
+   * Returns access for one purpose.
+   *
+   * @param untilMs monotonic time until which a transfer may wait for budget
+   */
+  StoreLinks access(Purpose purpose, long untilMs) {
+    return new Access(purpose, untilMs);
+  }
+
+  /** Announces an interactive import on all links. */
+  void expectInteractive() {
+    links.values().forEach(l -> l.budget().expectInteractive());
+  }
+
+  /** Withdraws an announcement. */
+  void interactiveDone() {
+    links.values().forEach(l -> l.budget().interactiveDone());
+  }
+
+  private Link link(Vm vm) {
+    return links.computeIfAbsent(
+        vm,
+        v -> new Link(clients.apply(v), new LinkBudget(clock, DEFAULT_BYTES_PER_SECOND, random)));
+  }
+
+  private final class Access implements StoreLinks {
+
+    private final Purpose purpose;
+    private final long untilMs;
+
+    Access(Purpose purpose, long untilMs) {
+      this.purpose = purpose;
+      this.untilMs = untilMs;
+    }
+
+    @Override
+    public StoreVm client(Vm vm) {
+      return link(vm).client();
+    }
+
+    @Override
+    public boolean isOpen(Vm vm) {
+      return link(vm).budget().isOpen();
+    }
+
+    @Override
+    public double rate(Vm vm) {
+      return link(vm).budget().rate();
+    }
+
+    @Override
+    public boolean acquire(Vm vm, long bytes) {
+      LinkBudget budget = link(vm).budget();
+      while (!budget.tryTake(purpose, bytes)) {
+        if (clock.nowMs() >= untilMs || !budget.isOpen()) {
+          return false;
+        }
+        LockSupport.parkNanos(WAIT_STEP_NS);
+        if (Thread.currentThread().isInterrupted()) {
+          return false;
+        }
+      }
+      return true;
+    }
+
+    @Override
+    public void succeeded(Vm vm, long bytes, long tookMs) {
+      link(vm).budget().succeeded(bytes, tookMs);
+      boolean in = purpose == Purpose.INTERACTIVE_IMPORT;
+      metrics.linkBytes(in ? "import" : "export", vm.vm(), bytes);
+    }
+
+    @Override
+    public void answered(Vm vm) {
+      link(vm).budget().answered();
+    }
+
+    @Override
+    public void failed(Vm vm) {
+      link(vm).budget().failed();
+    }
+  }
+}
--- a/org.cowslipyoke/src/main/java/org/cowslipyoke/blocks/BlockWriter.java
+++ b/org.cowslipyoke/src/main/java/org/cowslipyoke/blocks/BlockWriter.java
@@ -18,8 +18,6 @@
   public enum Result {
     /** The copy is sealed. */
     WRITTEN,
-    /** The VM held a sealed copy already. */
-    PRESENT,
     /** The VM has no room, or the link is closed or over its budget. */
     REFUSED,
     /** A call failed. */
@@ -35,27 +33,28 @@
     this.clock = clock;
   }
 
-  /** Writes one copy of a block. */
-  public Result write(BlockKey key, byte[] bytes, Vm vm) {
+  /**
+   * Returns whether the VM holds a sealed copy, so that none needs to be written. If it cannot be
+   * asked, the following write fails for the same reason.
+   */
+  public boolean isPresent(BlockKey key, Vm vm) {
     if (!links.isOpen(vm)) {
-      return Result.REFUSED;
+      return false;
     }
-    StoreVm store = links.client(vm);
-    Either<Failure, List<Held>> held = store.lookup(List.of(key));
+    Either<Failure, List<Held>> held = links.client(vm).lookup(List.of(key));
     if (held.isLeft()) {
       links.failed(vm);
-      return Result.FAILED;
-    }
-    if (!held.get().isEmpty()) {
-      return Result.PRESENT;
-    }
-    if (!links.acquire(vm, bytes.length)) {
-      return Result.REFUSED;
+      return false;
     }
-    return writeNew(key, bytes, vm, store);
+    return !held.get().isEmpty();
   }
 
-  private Result writeNew(BlockKey key, byte[] bytes, Vm vm, StoreVm store) {
+  /** Writes one copy of a block. */
+  public Result write(BlockKey key, byte[] bytes, Vm vm) {
+    if (!links.isOpen(vm) || !links.acquire(vm, bytes.length)) {
+      return Result.REFUSED;
+    }
+    StoreVm store = links.client(vm);
     Either<Failure, Long> opened = store.open(key, bytes.length);
     if (opened.isLeft()) {
       return failed(vm, opened.getLeft());
