--- a/org.cowslipyoke.standin/src/main/java/org/cowslipyoke/standin/EngineService.java
+++ b/org.cowslipyoke.standin/src/main/java/org/cowslipyoke/standin/EngineService.java
@@ -10,6 +10,8 @@
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongConsumer;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
 
 /** HTTP interface of a model engine. */
 final class EngineService implements Service {
@@ -26,6 +28,8 @@
        "crashMarker": ""}
       """;
 
+  private static final Logger LOG = LogManager.getLogger(EngineService.class);
+
   private static final long STEP_MS = 5;
 
   /** Time after which a stream without tokens gets an empty line. */
@@ -44,7 +48,16 @@
               t.setDaemon(true);
               return t;
             });
-    var unused = steps.scheduleWithFixedDelay(model::step, STEP_MS, STEP_MS, TimeUnit.MILLISECONDS);
+    var unused = steps.scheduleWithFixedDelay(this::step, STEP_MS, STEP_MS, TimeUnit.MILLISECONDS);
+  }
+
+  /** An exception would end the schedule, so it is logged and the next step is tried. */
+  private void step() {
+    try {
+      model.step();
+    } catch (RuntimeException e) {
+      LOG.error("step of the engine model failed", e);
+    }
   }
 
   @Override
--- a/org.cowslipyoke.standin/src/main/java/org/cowslipyoke/standin/Faults.java
+++ b/org.cowslipyoke.standin/src/main/java/org/cowslipyoke/standin/Faults.java
@@ -16,7 +16,7 @@
   /** Every switch with the value that means "no fault". */
   private static final String DEFAULTS =
       """
-      {"outage": "none", "outageMs": 0, "path": "/v1", "delayMs": 0,
+      {"outage": "none", "outageMs": 0, "path": "/", "delayMs": 0,
        "lostAnswers": 0, "lostProbability": 0, "seed": 1,
        "malformedAnswers": 0, "oversizeAnswers": 0, "silent": "none", "crash": false,
        "bytesPerSecond": 0, "staleMs": -1, "loseEvents": 0, "reorderEvents": false,
--- a/org.cowslipyoke.standin/src/main/java/org/cowslipyoke/standin/Kind.java
+++ b/org.cowslipyoke.standin/src/main/java/org/cowslipyoke/standin/Kind.java
@@ -1,5 +1,6 @@
 package org.cowslipyoke.standin;
 
+import java.util.Arrays;
 import java.util.Locale;
 import java.util.function.LongConsumer;
 
@@ -42,7 +43,16 @@
    * @throws IllegalArgumentException if there is none
    */
   public static Kind of(String name) {
-    return valueOf(name.toUpperCase(Locale.ROOT));
+    for (Kind k : values()) {
+      if (k.wireName().equals(name)) {
+        return k;
+      }
+    }
+    throw new IllegalArgumentException(
+        "unknown kind "
+            + name
+            + ", allowed: "
+            + Arrays.toString(values()).toLowerCase(Locale.ROOT));
   }
 
   /** Returns the name as used on the command line. */
