--- /dev/null
+++ b/org.cowslipyoke.test/src/test/java/org/cowslipyoke/standin/EngineStandInTest.java
@@ -0,0 +1,211 @@
+package org.cowslipyoke.standin;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
+import java.util.function.BooleanSupplier;
+import org.cowslipyoke.blocks.BlockChain;
+import org.cowslipyoke.blocks.BlockKey;
+import org.cowslipyoke.http.HttpConnector;
+import org.cowslipyoke.http.HttpModelEngine;
+import org.cowslipyoke.platform.ModelEngine.CacheEvent;
+import org.cowslipyoke.platform.ModelEngine.CacheEvents;
+import org.cowslipyoke.platform.ModelEngine.Generation;
+import org.cowslipyoke.platform.ModelEngine.Order;
+import org.cowslipyoke.platform.ModelEngine.TokenSink;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+class EngineStandInTest {
+
+  private static final String FAST =
+      "\"decodeTokensPerSecond\": 8000.0, \"decodeTokensPerSecondPerRun\": 2000.0,"
+          + " \"restartMs\": 20, \"eventDelayMs\": 0, \"reportLagMs\": 0";
+
+  private final HttpConnector connector =
+      HttpConnector.start("test", HttpConnector.Limits.defaults());
+  private final ExecutorService pool = Executors.newCachedThreadPool();
+  private final List<StandIn> standIns = new ArrayList<>();
+
+  private StandIn start(Kind kind, String settings) {
+    StandIn s = StandIn.start(kind, settings);
+    standIns.add(s);
+    return s;
+  }
+
+  private HttpModelEngine client(StandIn s) {
+    return new HttpModelEngine(connector, s.base(), 3_000);
+  }
+
+  @AfterEach
+  void closeAll() {
+    pool.shutdownNow();
+    connector.close();
+    standIns.forEach(StandIn::close);
+  }
+
+  private static void await(BooleanSupplier condition) {
+    long end = System.nanoTime() + 10_000_000_000L;
+    while (!condition.getAsBoolean()) {
+      assertTrue(System.nanoTime() < end, "condition not met within 10 s");
+      Thread.onSpinWait();
+    }
+  }
+
+  private static Generation generation(String run, String text, int max) {
+    byte[] p = text.getBytes(StandardCharsets.UTF_8);
+    List<BlockKey> keys = BlockChain.keys("org", "default", "v1", "", p);
+    return new Generation(run, "default", "", p, new byte[0], 0, keys, max, 0);
+  }
+
+  private static final class Text implements TokenSink {
+    final StringBuilder text = new StringBuilder();
+
+    @Override
+    public void started(String weightVersion, int reusedTokens, int recomputedTokens) {}
+
+    @Override
+    public boolean token(long offset, String piece) {
+      text.append(piece);
+      return true;
+    }
+  }
+
+  /** Guards against an engine that carries full load while cold, which would hide I4. */
+  @Test
+  void tooManyRunsInColdStartCrashTheEngine() {
+    StandIn s = start(Kind.ENGINE, "{\"coldAllowance\": 2, \"coldGraceMs\": 0}");
+    HttpModelEngine e = client(s);
+    final String before = e.state().get().incarnation();
+    List<Future<?>> calls = new ArrayList<>();
+    for (int i = 0; i < 3; i++) {
+      Generation g = generation("r" + i, "prompt " + i, 60);
+      calls.add(pool.submit(() -> e.generate(g, new Text())));
+    }
+    assertEquals(3, calls.size());
+    await(() -> s.stats().path("crashes").asInt() == 1);
+    assertTrue(s.stats().path("maxConcurrencyWhileCold").asInt() >= 3);
+    await(() -> e.state().isRight());
+    assertNotEquals(before, e.state().get().incarnation());
+  }
+
+  /** Guards against an engine that never warms up when its load grows within the allowance. */
+  @Test
+  void engineWarmsUpWithinItsAllowance() {
+    StandIn s = start(Kind.ENGINE, "{\"maxBatch\": 4, \"coldAllowance\": 1, " + FAST + "}");
+    HttpModelEngine e = client(s);
+    assertTrue(e.load().get().cold());
+    for (int i = 0; i < 3; i++) {
+      assertTrue(e.generate(generation("r" + i, "p", 3), new Text()).isRight());
+    }
+    await(() -> !e.load().get().cold());
+    assertEquals(0, s.stats().path("crashes").asInt());
+  }
+
+  /** Guards against a crash switch that does not act, or acts on other prompts. */
+  @Test
+  void onlyThePromptWithTheMarkerCrashesTheEngine() {
+    StandIn s = start(Kind.ENGINE, "{\"crashMarker\": \"POISON\", " + FAST + "}");
+    HttpModelEngine e = client(s);
+    assertTrue(e.generate(generation("r1", "fine", 3), new Text()).isRight());
+    assertTrue(e.generate(generation("r2", "a POISON b", 3), new Text()).isLeft());
+    assertEquals(1, s.stats().path("crashes").asInt());
+  }
+
+  /** Guards against wrong block content that does not show in the answer. */
+  @Test
+  void importedBlockWithWrongContentChangesTheAnswer() {
+    StandIn s = start(Kind.ENGINE, "{" + FAST + "}");
+    HttpModelEngine e = client(s);
+    Generation g = generation("r1", "x".repeat(5000), 20);
+    assertTrue(e.importBlock(g.blockKeys().get(0), new byte[16 << 10]).get());
+    Text t = new Text();
+    assertTrue(e.generate(g, t).isRight());
+    assertNotEquals(AnswerText.of(g.prompt()).text(0, 20), t.text.toString());
+    assertEquals(1, s.stats().path("corruptBlocksUsed").asInt());
+  }
+
+  /** Guards against cache events that are always complete and in order. */
+  @Test
+  void cacheEventsHaveGapsAndComeInAnyOrder() {
+    StandIn s = start(Kind.ENGINE, "{" + FAST + "}");
+    HttpModelEngine e = client(s);
+    s.faults("{\"loseEvents\": 1, \"reorderEvents\": true}");
+    assertTrue(e.generate(generation("r1", "x".repeat(3 * 4096), 2), new Text()).isRight());
+    CacheEvents events = e.cacheEvents(0).get();
+    assertEquals(List.of(3L, 2L), events.events().stream().map(CacheEvent::sequence).toList());
+    assertEquals(3, e.cachedBlocks().get().size());
+  }
+
+  /** Guards against a run that is kept for ever after its reader has gone. */
+  @Test
+  void abandonedRunIsDropped() {
+    StandIn s = start(Kind.ENGINE, "{\"keepRunMs\": 50, " + FAST + "}");
+    HttpModelEngine e = client(s);
+    assertTrue(e.generate(generation("r1", "p", 3), new Text()).isRight());
+    await(() -> s.stats().path("runs").asInt() == 0);
+    assertTrue(e.resume("r1", 0, new Text()).isLeft());
+  }
+
+  /** Guards against a cancelled run that goes on to use the engine. */
+  @Test
+  void cancelledRunEnds() {
+    StandIn s = start(Kind.ENGINE, "{}");
+    HttpModelEngine e = client(s);
+    Future<?> call = pool.submit(() -> e.generate(generation("r1", "p", 300), new Text()));
+    await(() -> s.stats().path("running").asInt() == 1);
+    assertTrue(e.cancel("r1").get());
+    await(call::isDone);
+    assertEquals(0, s.stats().path("running").asInt());
+    assertTrue(!e.cancel("r1").get());
+  }
+
+  /** Guards against an engine with fencing ignored that refuses, which would hide the read-back. */
+  @Test
+  void engineThatIgnoresTheNumberExecutesAnOldOrder() {
+    StandIn s =
+        start(Kind.ENGINE, "{\"fencing\": \"ignored\", \"weightLoadMs\": 10, " + FAST + "}");
+    HttpModelEngine e = client(s);
+    assertTrue(e.order(new Order("load", "default", "", "v3", ""), 7).isRight());
+    assertTrue(e.order(new Order("load", "default", "", "v2", ""), 6).isRight());
+    await(() -> !e.state().get().loading());
+    assertEquals("v2", e.state().get().weightVersion());
+    assertEquals(1, s.stats().path("ordersOutdated").asInt());
+  }
+
+  /** Guards against loads from the weight store that do not slow each other down. */
+  @Test
+  void fourLoadsAtOnceTakeTwiceAsLong() {
+    StandIn weights = start(Kind.WEIGHTS, "{\"loadMs\": 300}");
+    List<HttpModelEngine> engines = new ArrayList<>();
+    for (int i = 0; i < 4; i++) {
+      String settings = "{\"weightStore\": \"" + weights.base() + "\", " + FAST + "}";
+      engines.add(client(start(Kind.ENGINE, settings)));
+    }
+    final long from = System.nanoTime();
+    engines.forEach(
+        e -> assertTrue(e.order(new Order("load", "default", "", "v2", ""), 1).isRight()));
+    await(() -> weights.stats().path("loading").asInt() == 4);
+    await(() -> engines.stream().noneMatch(e -> e.state().get().loading()));
+    assertTrue(System.nanoTime() - from >= 550_000_000L);
+    assertEquals("v2", engines.get(0).state().get().weightVersion());
+  }
+
+  /** Guards against a misspelt setting or switch that is silently ignored. */
+  @Test
+  void unknownNamesAreErrors() {
+    assertThrows(
+        IllegalArgumentException.class, () -> StandIn.start(Kind.ENGINE, "{\"maxBach\": 1}"));
+    StandIn s = start(Kind.TABLE, "{}");
+    assertThrows(IllegalArgumentException.class, () -> s.faults("{\"outrage\": \"refuse\"}"));
+    assertThrows(IllegalArgumentException.class, () -> s.faults("{\"delayMs\": \"1\"}"));
+  }
+}
