Add the entry role and repair the JSON of the suspects row

Callers had no front end yet.

Change: SuspectJson writes and reads one form. EntryRole with Jetty handlers for model requests and plain services, bounded asynchronous bodies, an asynchronous relay, claims in batches, limits, metrics and log context.

--- /dev/null
+++ b/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/entry/ChatReply.java
@@ -0,0 +1,165 @@
+package org.cowslipyoke.daemon.entry;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import org.cowslipyoke.errors.ErrorKind;
+import org.cowslipyoke.errors.Failure;
+import org.cowslipyoke.message.Message.ServiceReply;
+import org.cowslipyoke.request.Completion;
+import org.eclipse.jetty.http.HttpFields;
+import org.eclipse.jetty.http.HttpHeader;
+import org.jspecify.annotations.Nullable;
+
+/** Writes a model's answer whole, or as server-sent events whose ids are token offsets. */
+final class ChatReply implements CallerReply {
+
+  private static final ObjectMapper JSON = new ObjectMapper();
+
+  private final ReplyWriter writer;
+  private final String requestId;
+  private final String model;
+  private final boolean stream;
+  private final int promptTokens;
+  private final long skipTokens;
+  private boolean headWritten;
+
+  ChatReply(
+      ReplyWriter writer,
+      String requestId,
+      String model,
+      boolean stream,
+      int promptTokens,
+      long skipTokens) {
+    this.writer = writer;
+    this.requestId = requestId;
+    this.model = model;
+    this.stream = stream;
+    this.promptTokens = promptTokens;
+    this.skipTokens = skipTokens;
+  }
+
+  /** Returns the form in which the answer of a claimed request is recorded. */
+  static byte[] encode(Completion completion) {
+    try {
+      return JSON.writeValueAsBytes(completion);
+    } catch (IOException e) {
+      throw new IllegalStateException("a completion can always be written as JSON", e);
+    }
+  }
+
+  @Override
+  public void begun(String server, int reusedTokens) {
+    HttpFields.Mutable headers = writer.response().getHeaders();
+    headers.put(Headers.REQUEST_ID, requestId);
+    headers.put(Headers.SERVER, server);
+    headers.put(Headers.REUSED_TOKENS, Integer.toString(reusedTokens));
+    if (stream) {
+      headers.put(HttpHeader.CONTENT_TYPE, "text/event-stream");
+      headers.put(HttpHeader.CACHE_CONTROL, "no-store");
+    } else {
+      headers.put(HttpHeader.CONTENT_TYPE, "application/json");
+    }
+  }
+
+  @Override
+  public void relay(long offset, List<String> pieces) {
+    if (stream) {
+      event(offset + pieces.size(), delta(String.join("", pieces), null));
+    }
+  }
+
+  @Override
+  public void finish(Completion completion) {
+    int tokens = completion.pieces().size();
+    if (stream) {
+      ObjectNode last = delta("", completion.finishReason());
+      last.set("usage", usage(tokens, completion.reusedTokens()));
+      event(tokens, last);
+      writer.end("data: [DONE]\n\n".getBytes(StandardCharsets.UTF_8));
+      return;
+    }
+    ObjectNode root = root("chat.completion");
+    ObjectNode choice = root.putArray("choices").addObject().put("index", 0);
+    choice
+        .putObject("message")
+        .put("role", "assistant")
+        .put("content", String.join("", completion.pieces()));
+    choice.put("finish_reason", completion.finishReason());
+    root.set("usage", usage(tokens, completion.reusedTokens()));
+    writer.end(bytes(root));
+  }
+
+  @Override
+  public void reply(String server, ServiceReply reply) {
+    throw new IllegalStateException("a model request got the answer of a service");
+  }
+
+  @Override
+  public void replay(byte[] recorded) {
+    Completion c;
+    try {
+      c = JSON.readValue(recorded, Completion.class);
+    } catch (IOException e) {
+      refuse(Failure.of(ErrorKind.INTERNAL, "the recorded answer cannot be read"));
+      return;
+    }
+    begun(c.server(), c.reusedTokens());
+    int skip = (int) Math.min(skipTokens, c.pieces().size());
+    if (skip < c.pieces().size()) {
+      relay(skip, c.pieces().subList(skip, c.pieces().size()));
+    }
+    finish(c);
+  }
+
+  @Override
+  public void refuse(Failure failure) {
+    if (!headWritten) {
+      writer.error(failure, requestId);
+      return;
+    }
+    String data = ReplyWriter.errorBody(failure, requestId).toString();
+    writer.end(("event: error\ndata: " + data + "\n\n").getBytes(StandardCharsets.UTF_8));
+  }
+
+  private void event(long nextOffset, ObjectNode data) {
+    headWritten = true;
+    String text = "id: " + nextOffset + "\ndata: " + data + "\n\n";
+    writer.write(text.getBytes(StandardCharsets.UTF_8));
+  }
+
+  private ObjectNode delta(String content, @Nullable String reason) {
+    ObjectNode root = root("chat.completion.chunk");
+    ObjectNode choice = root.putArray("choices").addObject().put("index", 0);
+    ObjectNode delta = choice.putObject("delta");
+    if (reason == null) {
+      delta.put("content", content);
+    }
+    choice.put("finish_reason", reason);
+    return root;
+  }
+
+  private ObjectNode root(String object) {
+    return JsonNodeFactory.instance
+        .objectNode()
+        .put("id", requestId)
+        .put("object", object)
+        .put("model", model);
+  }
+
+  private ObjectNode usage(int completionTokens, int reusedTokens) {
+    return JsonNodeFactory.instance
+        .objectNode()
+        .put("prompt_tokens", promptTokens)
+        .put("completion_tokens", completionTokens)
+        .put("total_tokens", promptTokens + completionTokens)
+        .put("cached_tokens", reusedTokens);
+  }
+
+  private static byte[] bytes(ObjectNode node) {
+    return node.toString().getBytes(StandardCharsets.UTF_8);
+  }
+}
--- /dev/null
+++ b/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/entry/ReplyWriter.java
@@ -0,0 +1,142 @@
+package org.cowslipyoke.daemon.entry;
+
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import org.cowslipyoke.errors.Failure;
+import org.eclipse.jetty.http.HttpField;
+import org.eclipse.jetty.http.HttpHeader;
+import org.eclipse.jetty.server.Response;
+import org.eclipse.jetty.util.Callback;
+
+/**
+ * Writes an HTTP answer piece by piece without holding a thread. Only one write is under way at a
+ * time; the others wait in a bounded queue.
+ */
+final class ReplyWriter {
+
+  /** Bytes that may wait for a slow caller; more ends its connection. */
+  static final int MAX_QUEUED_BYTES = 1 << 20;
+
+  private record Part(byte[] bytes, boolean last) {}
+
+  private final Response response;
+  private final Callback completion;
+  private final Runnable callerGone;
+  private final Deque<Part> queue = new ArrayDeque<>();
+  private int queuedBytes;
+  private boolean writing;
+  private boolean ended;
+  private boolean broken;
+
+  /**
+   * Creates a writer.
+   *
+   * @param callerGone told once when the caller can't be written to any more
+   */
+  ReplyWriter(Response response, Callback completion, Runnable callerGone) {
+    this.response = response;
+    this.completion = completion;
+    this.callerGone = callerGone;
+  }
+
+  Response response() {
+    return response;
+  }
+
+  /** Writes a part of the body. */
+  void write(byte[] bytes) {
+    enqueue(new Part(bytes, false));
+  }
+
+  /** Writes the last part of the body and completes the exchange. */
+  void end(byte[] bytes) {
+    enqueue(new Part(bytes, true));
+  }
+
+  /** Writes an error as the whole answer; the head must not have been written. */
+  void error(Failure failure, String requestId) {
+    response.setStatus(failure.kind().status());
+    response.getHeaders().put(HttpHeader.CONTENT_TYPE, "application/json");
+    response.getHeaders().put(Headers.REQUEST_ID, requestId);
+    if (failure.retryAfterMs() > 0 || failure.kind().retryable()) {
+      long seconds = Math.max(1, (failure.retryAfterMs() + 999) / 1_000);
+      response.getHeaders().put(new HttpField(HttpHeader.RETRY_AFTER, Long.toString(seconds)));
+    }
+    end(errorBody(failure, requestId).toString().getBytes(StandardCharsets.UTF_8));
+  }
+
+  /** Returns the error body of section 12 of the design. */
+  static ObjectNode errorBody(Failure failure, String requestId) {
+    ObjectNode root = JsonNodeFactory.instance.objectNode();
+    root.putObject("error")
+        .put("kind", failure.kind().wireName())
+        .put("message", failure.message())
+        .put("outcome", failure.outcome().wireName())
+        .put("request_id", requestId);
+    return root;
+  }
+
+  private void enqueue(Part part) {
+    boolean overflow;
+    synchronized (queue) {
+      if (broken || ended) {
+        return;
+      }
+      ended = part.last();
+      queuedBytes += part.bytes().length;
+      overflow = queuedBytes > MAX_QUEUED_BYTES && writing;
+      queue.add(part);
+      if (writing && !overflow) {
+        return;
+      }
+    }
+    if (overflow) {
+      fail(new IllegalStateException("the caller reads too slowly"));
+    } else {
+      writeNext();
+    }
+  }
+
+  private void writeNext() {
+    Part part;
+    synchronized (queue) {
+      if (broken || writing || queue.isEmpty()) {
+        return;
+      }
+      part = queue.remove();
+      queuedBytes -= part.bytes().length;
+      writing = true;
+    }
+    response.write(
+        part.last(),
+        ByteBuffer.wrap(part.bytes()),
+        Callback.from(() -> written(part.last()), this::fail));
+  }
+
+  private void written(boolean last) {
+    synchronized (queue) {
+      writing = false;
+    }
+    if (last) {
+      completion.succeeded();
+    } else {
+      writeNext();
+    }
+  }
+
+  private void fail(Throwable cause) {
+    synchronized (queue) {
+      if (broken) {
+        return;
+      }
+      broken = true;
+      queue.clear();
+    }
+    completion.failed(cause);
+    callerGone.run();
+  }
+}
--- /dev/null
+++ b/org.cowslipyoke.test/src/test/java/org/cowslipyoke/daemon/entry/EntryHttpTest.java
@@ -0,0 +1,213 @@
+package org.cowslipyoke.daemon.entry;
+
+import static org.cowslipyoke.daemon.entry.EntryFixture.BODY;
+import static org.cowslipyoke.daemon.entry.EntryFixture.is;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.net.InetAddress;
+import java.net.Socket;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import org.cowslipyoke.errors.ErrorKind;
+import org.cowslipyoke.errors.Outcome;
+import org.cowslipyoke.message.Message;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** Guards the HTTP edge: answers, bounds of bodies, limits, keys and shutdown. */
+class EntryHttpTest {
+
+  private EntryFixture entry;
+
+  @BeforeEach
+  void open() throws Exception {
+    entry = new EntryFixture();
+  }
+
+  @AfterEach
+  void close() throws Exception {
+    EntryFixture.await(() -> entry.role.running() == 0);
+    entry.close();
+  }
+
+  private String raw(String text) throws Exception {
+    try (Socket s = new Socket(InetAddress.getLoopbackAddress(), entry.port())) {
+      s.setSoTimeout(20_000);
+      s.getOutputStream().write(text.getBytes(StandardCharsets.UTF_8));
+      s.getOutputStream().flush();
+      byte[] head = s.getInputStream().readNBytes(12);
+      return new String(head, StandardCharsets.UTF_8);
+    }
+  }
+
+  private static String head(int length) {
+    return "POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer key-alpha\r\n"
+        + "Content-Length: "
+        + length
+        + "\r\n\r\n";
+  }
+
+  @Test
+  void answersWholeWithUsageAndHeaders() throws Exception {
+    HttpResponse<String> r = entry.chat("alpha", BODY, "X-Request-Id", "r-7");
+    assertEquals(200, r.statusCode());
+    assertTrue(r.body().contains("\"content\":\"Hello\""), r.body());
+    assertTrue(r.body().contains("\"completion_tokens\":2"), r.body());
+    assertTrue(r.body().contains("\"cached_tokens\":4"), r.body());
+    assertEquals("r-7", r.headers().firstValue("X-Request-Id").orElse(""));
+    assertEquals("server-1", r.headers().firstValue("X-Server").orElse(""));
+    assertEquals("4", r.headers().firstValue("X-Reused-Tokens").orElse(""));
+  }
+
+  @Test
+  void streamsEventsWhoseIdsAreTheNextOffset() throws Exception {
+    HttpResponse<String> r =
+        entry.chat("alpha", BODY.replace("{\"model", "{\"stream\":true,\"model"));
+    List<String> ids = r.body().lines().filter(l -> l.startsWith("id: ")).toList();
+    assertEquals(List.of("id: 1", "id: 2", "id: 2"), ids, r.body());
+    assertTrue(r.body().endsWith("data: [DONE]\n\n"));
+  }
+
+  @Test
+  void refusesMalformedDeepAndOversizedBodies() throws Exception {
+    for (String b : List.of("{", "[]", "{\"model\":1}", BODY + "x", BODY.replace("user", "root"))) {
+      assertTrue(is(entry.chat("alpha", b), ErrorKind.INVALID_REQUEST), b);
+    }
+    String deep = "[".repeat(ChatRequest.MAX_DEPTH + 1);
+    assertTrue(is(entry.chat("alpha", "{\"model\":" + deep), ErrorKind.TOO_LARGE));
+    byte[] large = new byte[(1 << 16) + 1];
+    HttpRequest.Builder chunked =
+        entry
+            .request(EntryHandler.CHAT_PATH, "alpha")
+            .POST(
+                HttpRequest.BodyPublishers.fromPublisher(
+                    HttpRequest.BodyPublishers.ofByteArray(large)));
+    assertTrue(is(entry.send(chunked), ErrorKind.TOO_LARGE));
+    assertEquals("HTTP/1.1 413", raw(head(large.length)));
+    assertEquals(0, entry.servers.received.size());
+  }
+
+  @Test
+  void slowBodyIsRefusedAndTruncatedBodyForgotten() throws Exception {
+    assertEquals("HTTP/1.1 400", raw(head(50) + "{"));
+    try (Socket s = new Socket(InetAddress.getLoopbackAddress(), entry.port())) {
+      s.getOutputStream().write((head(50) + "{").getBytes(StandardCharsets.UTF_8));
+      s.shutdownOutput();
+      EntryFixture.await(() -> entry.role.running() == 0);
+    }
+    assertEquals(0, entry.servers.received.size());
+  }
+
+  @Test
+  void refusesUnknownKeyModelPathAndHeader() throws Exception {
+    assertTrue(is(entry.chat("nobody", BODY), ErrorKind.UNAUTHENTICATED));
+    String otherModel = BODY.replace("\"m\"", "\"n\"");
+    assertTrue(is(entry.chat("alpha", otherModel), ErrorKind.NOT_FOUND));
+    assertTrue(is(entry.send(entry.request("/x", "alpha")), ErrorKind.NOT_FOUND));
+    assertTrue(is(entry.chat("alpha", BODY, "X-Deadline-Ms", "0"), ErrorKind.INVALID_REQUEST));
+    assertTrue(is(entry.chat("alpha", BODY, "Last-Event-ID", "2"), ErrorKind.INVALID_REQUEST));
+  }
+
+  @Test
+  void rateLimitNamesTimeToWait() throws Exception {
+    assertEquals(200, entry.chat("small", BODY).statusCode());
+    HttpResponse<String> r = entry.chat("small", BODY);
+    assertTrue(is(r, ErrorKind.RATE_LIMITED));
+    assertEquals("1", r.headers().firstValue("Retry-After").orElse(""));
+    assertEquals(200, entry.chat("alpha", BODY).statusCode());
+  }
+
+  @Test
+  void keyedRequestRunsOnceForItsOrganisation() throws Exception {
+    String first = entry.chat("alpha", BODY, "Idempotency-Key", "k").body();
+    String second = entry.chat("alpha", BODY, "Idempotency-Key", "k").body();
+    assertTrue(first.contains("Hello") && second.contains("Hello"), second);
+    assertEquals(1, entry.servers.count(Message.Start.class));
+    String other = BODY.replace("hi", "ho");
+    assertTrue(is(entry.chat("alpha", other, "Idempotency-Key", "k"), ErrorKind.KEY_REUSED));
+    assertEquals(200, entry.chat("beta", other, "Idempotency-Key", "k").statusCode());
+    entry.table.outage(true);
+    assertTrue(is(entry.chat("beta", BODY, "Idempotency-Key", "n"), ErrorKind.STORE_UNAVAILABLE));
+    assertEquals(200, entry.chat("beta", BODY).statusCode(), "idempotent work goes on");
+    entry.table.outage(false);
+  }
+
+  @Test
+  void brokenStreamIsResumedAndCallerSeesNoError() throws Exception {
+    entry.servers.on(
+        Message.Start.class, (id, m) -> List.of(FakeServers.answer(id).get(1), FakeServers.RESET));
+    assertTrue(entry.chat("alpha", BODY).body().contains("\"content\":\"Hello\""));
+    assertEquals(1, entry.servers.count(Message.Resume.class));
+  }
+
+  @Test
+  void reconnectingCallerGetsTheRest() throws Exception {
+    entry.servers.on(Message.Probe.class, (id, m) -> List.of(FakeServers.offer(2)));
+    String body = BODY.replace("{\"model", "{\"stream\":true,\"model");
+    HttpResponse<String> r = entry.chat("alpha", body, "X-Request-Id", "r-1", "Last-Event-ID", "1");
+    assertFalse(r.body().contains("\"Hel\""), r.body());
+    assertTrue(r.body().contains("\"lo\""), r.body());
+    assertEquals(0, entry.servers.count(Message.Start.class));
+  }
+
+  @Test
+  void errorsAndMetricsShowNothingOfOthers() throws Exception {
+    String secret = "beta asked about paddock 9";
+    entry.servers.on(
+        Message.Probe.class,
+        (id, m) -> List.of(new Message.Refused(ErrorKind.OVERLOADED, secret, 0)));
+    entry.servers.on(
+        Message.ServiceCall.class,
+        (id, m) -> List.of(new Message.Failed(id, ErrorKind.BACKEND_FAILED, Outcome.RUN, secret)));
+    HttpResponse<String> r = entry.chat("alpha", BODY, "X-Deadline-Ms", "1000");
+    assertFalse(r.body().contains("beta"), r.body());
+    HttpResponse<String> s = entry.send(entry.request("/book/x", "alpha"));
+    assertTrue(is(s, ErrorKind.BACKEND_FAILED), s.body());
+    assertFalse(s.body().contains("beta"), s.body());
+    String meters = entry.meters.getMetersAsString();
+    assertFalse(meters.contains("alpha") || meters.contains("paddock"), meters);
+  }
+
+  @Test
+  void guessedRequestIdOrConversationReadsNothingOfAnother() throws Exception {
+    entry.chat("alpha", BODY, "X-Request-Id", "r-9", "X-Conversation-Id", "c-9");
+    entry.chat("beta", BODY, "X-Request-Id", "r-9", "X-Conversation-Id", "c-9");
+    List<Message.Probe> probes =
+        entry.servers.received.stream()
+            .filter(Message.Probe.class::isInstance)
+            .map(Message.Probe.class::cast)
+            .toList();
+    assertEquals("beta", probes.get(1).organisation());
+    assertFalse(probes.get(0).digest().equals(probes.get(1).digest()));
+  }
+
+  @Test
+  void servicesGetTheCallWithoutCredential() throws Exception {
+    HttpRequest.BodyPublisher none = HttpRequest.BodyPublishers.noBody();
+    HttpResponse<String> r = entry.send(entry.request("/book/slots?day=1", "alpha").POST(none));
+    assertEquals(201, r.statusCode());
+    assertEquals("/slots?day=1", r.body());
+    Message.ServiceCall call = (Message.ServiceCall) entry.servers.received.get(0);
+    assertFalse(call.idempotent());
+    assertTrue(call.headers().stream().noneMatch(h -> h.contains("key-alpha")));
+    for (String path : List.of("/book/%73lots", "/book//slots", "/book/x/../slots")) {
+      String line = "POST " + path + " HTTP/1.1\r\nHost: x\r\n";
+      String answer = raw(line + "Authorization: Bearer key-alpha\r\nContent-Length: 0\r\n\r\n");
+      assertEquals("HTTP/1.1 400", answer, path);
+    }
+    assertEquals(1, entry.servers.count(Message.ServiceCall.class));
+  }
+
+  @Test
+  void notReadyAfterPauseAndShuttingDownAfterStop() throws Exception {
+    entry.clock.advance(10_000);
+    assertTrue(is(entry.chat("alpha", BODY), ErrorKind.NOT_READY));
+    entry.role.stopAdmitting();
+    assertTrue(is(entry.chat("alpha", BODY), ErrorKind.SHUTTING_DOWN));
+  }
+}
--- a/org.cowslipyoke/src/main/java/org/cowslipyoke/request/RequestRun.java
+++ b/org.cowslipyoke/src/main/java/org/cowslipyoke/request/RequestRun.java
@@ -19,7 +19,7 @@
  * only if the driver has reported that the first was not sent. "Not run" is reported only if no
  * start was sent or each start was confirmed as dropped.
  */
-public final class RequestRun {
+public final class RequestRun implements EntryRun {
 
   /** Rounds of probes of one request, so that one request cannot use up the retry budget. */
   public static final int MAX_ROUNDS = 5;
@@ -76,6 +76,7 @@
   }
 
   /** Begins the request; called once. */
+  @Override
   public List<Action> start() {
     context.retries().onRequest();
     if (standing() == Standing.QUARANTINED) {
@@ -94,6 +95,7 @@
   }
 
   /** The ledger has decided about the claim. */
+  @Override
   public List<Action> onClaim(ClaimDecision decision) {
     if (decision instanceof ClaimDecision.Granted) {
       if (phase == Phase.CLAIMING) {
@@ -113,6 +115,7 @@
   }
 
   /** A server has sent a message on a channel. Late and crossed messages are dropped. */
+  @Override
   public List<Action> onMessage(long channel, Message message) {
     if (phase == Phase.RUNNING && execution.owns(channel)) {
       apply(execution.onMessage(message));
@@ -128,6 +131,7 @@
    *
    * @param failure kind {@code NO_SERVER} if the last message was certainly not sent
    */
+  @Override
   public List<Action> onClosed(long channel, Failure failure) {
     if (phase == Phase.RUNNING && execution.owns(channel)) {
       apply(execution.onClosed(failure));
@@ -139,6 +143,7 @@
   }
 
   /** The clock has reached the time of the timer, or any other time. */
+  @Override
   public List<Action> onTick() {
     out.timerFired(now());
     if (phase == Phase.RECORDING && now() >= wakeAtMs) {
@@ -159,6 +164,7 @@
    * The caller's connection is gone. A claimed request that was sent runs on, so that its answer is
    * recorded for a repeat; all other work is cancelled.
    */
+  @Override
   public List<Action> onCallerGone() {
     execution.callerGone();
     boolean runsOn = claimed && execution.isActive();
@@ -170,6 +176,7 @@
   }
 
   /** The answer of a claimed request is recorded, or the ledger goes on trying by itself. */
+  @Override
   public List<Action> onRecorded() {
     if (phase == Phase.RECORDING) {
       finish();
@@ -178,6 +185,7 @@
   }
 
   /** Returns whether the run has ended; late events are still to be delivered. */
+  @Override
   public boolean isDone() {
     return phase == Phase.DONE;
   }
--- a/org.cowslipyoke/src/main/java/org/cowslipyoke/request/ServiceRun.java
+++ b/org.cowslipyoke/src/main/java/org/cowslipyoke/request/ServiceRun.java
@@ -22,7 +22,7 @@
  * call that must not be repeated is sent once; only a call that was certainly not sent goes to
  * another server.
  */
-public final class ServiceRun {
+public final class ServiceRun implements EntryRun {
 
   /** Servers tried by a call that may be repeated. */
   public static final int MAX_CALLS = 4;
@@ -55,6 +55,7 @@
   }
 
   /** Begins the call; called once. */
+  @Override
   public List<Action> start() {
     context.retries().onRequest();
     if (now() >= spec.deadlineAtMs()) {
@@ -71,6 +72,7 @@
   }
 
   /** The ledger has decided about the claim. */
+  @Override
   public List<Action> onClaim(ClaimDecision decision) {
     if (decision instanceof ClaimDecision.Granted) {
       if (phase == Phase.CLAIMING) {
@@ -89,6 +91,7 @@
   }
 
   /** A server has sent a message on a channel. Late and crossed messages are dropped. */
+  @Override
   public List<Action> onMessage(long onChannel, Message message) {
     if (phase != Phase.CALLING || onChannel != channel) {
       return flush();
@@ -111,6 +114,7 @@
    *
    * @param failure kind {@code NO_SERVER} if the call was certainly not sent
    */
+  @Override
   public List<Action> onClosed(long onChannel, Failure failure) {
     if (phase == Phase.CALLING && onChannel == channel) {
       channel = -1;
@@ -124,6 +128,7 @@
   }
 
   /** The clock has reached the time of the timer, or any other time. */
+  @Override
   public List<Action> onTick() {
     out.timerFired(now());
     if (phase == Phase.RECORDING && now() >= recordByMs) {
@@ -142,6 +147,7 @@
    * The caller's connection is gone. A call that must not be repeated runs on, so that its answer
    * is recorded and its execution is not cut off half way.
    */
+  @Override
   public List<Action> onCallerGone() {
     boolean runsOn = phase == Phase.CALLING && !spec.idempotent();
     if (phase != Phase.DONE && phase != Phase.RECORDING && !runsOn) {
@@ -153,6 +159,7 @@
   }
 
   /** The answer of a claimed call is recorded, or the ledger goes on trying by itself. */
+  @Override
   public List<Action> onRecorded() {
     if (phase == Phase.RECORDING) {
       finish();
@@ -161,6 +168,7 @@
   }
 
   /** Returns whether the run has ended; late events are still to be delivered. */
+  @Override
   public boolean isDone() {
     return phase == Phase.DONE;
   }
--- a/org.cowslipyoke/src/main/java/org/cowslipyoke/suspect/SuspectJson.java
+++ b/org.cowslipyoke/src/main/java/org/cowslipyoke/suspect/SuspectJson.java
@@ -26,9 +26,16 @@
 
   /** Returns the entries as a JSON object. */
   static ObjectNode write(Snapshot snapshot) {
-    ObjectNode root = JSON.createObjectNode();
+    ObjectNode root = JSON.createObjectNode().put("version", snapshot.version());
     ObjectNode entries = root.putObject("entries");
-    snapshot.entries().forEach((d, e) -> entries.putArray(d).add(e.crashes()).add(e.sinceWallMs()));
+    snapshot
+        .entries()
+        .forEach(
+            (d, e) ->
+                entries
+                    .putObject(d)
+                    .put("crashes", e.crashes())
+                    .put("sinceWallMs", e.sinceWallMs()));
     return root;
   }
 
@@ -43,7 +50,8 @@
       JsonNode root = JSON.readTree(json);
       for (Map.Entry<String, JsonNode> e : root.path("entries").properties()) {
         JsonNode v = e.getValue();
-        entries.put(e.getKey(), new Entry(v.path("crashes").asInt(), v.path("sinceWallMs").asLong()));
+        entries.put(
+            e.getKey(), new Entry(v.path("crashes").asInt(), v.path("sinceWallMs").asLong()));
       }
     } catch (JsonProcessingException e) {
       return Either.left(Failure.of(ErrorKind.INTERNAL, "the suspects list is malformed"));
