--- a/org.cowslipyoke/src/main/java/org/cowslipyoke/suspect/SuspectJson.java
+++ b/org.cowslipyoke/src/main/java/org/cowslipyoke/suspect/SuspectJson.java
@@ -43,7 +43,8 @@
       JsonNode root = JSON.readTree(json);
       for (Map.Entry<String, JsonNode> e : root.path("entries").properties()) {
         JsonNode v = e.getValue();
-        entries.put(e.getKey(), new Entry(v.path("crashes").asInt(), v.path("sinceWallMs").asLong()));
+        entries.put(
+            e.getKey(), new Entry(v.path("crashes").asInt(), v.path("sinceWallMs").asLong()));
       }
     } catch (JsonProcessingException e) {
       return Either.left(Failure.of(ErrorKind.INTERNAL, "the suspects list is malformed"));
