--- /dev/null
+++ b/org.cowslipyoke.pgm/src/main/java/org/cowslipyoke/pgm/Arguments.java
@@ -0,0 +1,155 @@
+package org.cowslipyoke.pgm;
+
+import java.io.IOException;
+import java.net.URI;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Optional;
+import org.apache.commons.cli.CommandLine;
+import org.apache.commons.cli.DefaultParser;
+import org.apache.commons.cli.Option;
+import org.apache.commons.cli.Options;
+import org.apache.commons.cli.ParseException;
+import org.cowslipyoke.config.Section;
+import org.cowslipyoke.errors.ErrorKind;
+import org.cowslipyoke.errors.Failure;
+
+/** The parsed command line. Missing and malformed options end in a {@link UsageException}. */
+final class Arguments {
+
+  private static final List<String> WITH_VALUE =
+      List.of(
+          Texts.TABLE,
+          Texts.VMS,
+          Texts.SECTION,
+          Texts.CREDENTIAL_FILE,
+          Texts.REASON,
+          Texts.WHO,
+          Texts.EXPECT_VERSION,
+          Texts.CHANGE_ID,
+          Texts.LIMIT,
+          Texts.HTTP_PORT,
+          Texts.READY_LINES);
+
+  private static final List<String> SWITCHES = List.of(Texts.JSON, Texts.HELP, Texts.VERSION);
+
+  private final CommandLine line;
+
+  private Arguments(CommandLine line) {
+    this.line = line;
+  }
+
+  static Arguments parse(String[] args) throws UsageException {
+    Options options = new Options();
+    WITH_VALUE.forEach(o -> options.addOption(Option.builder().longOpt(o).hasArg().get()));
+    SWITCHES.forEach(o -> options.addOption(Option.builder().longOpt(o).get()));
+    try {
+      return new Arguments(new DefaultParser(false).parse(options, args));
+    } catch (ParseException e) {
+      throw new UsageException(String.valueOf(e.getMessage()));
+    }
+  }
+
+  boolean has(String option) {
+    return line.hasOption(option);
+  }
+
+  /** Returns the words of the command, without the file. */
+  List<String> words() {
+    return line.getArgList();
+  }
+
+  Optional<String> value(String option) {
+    return Optional.ofNullable(line.getOptionValue(option));
+  }
+
+  String required(String option) throws UsageException {
+    String v = line.getOptionValue(option);
+    if (v == null || v.isEmpty()) {
+      throw new UsageException(String.format(Texts.MISSING_OPTION, option));
+    }
+    return v;
+  }
+
+  URI url(String option) throws UsageException {
+    String v = required(option);
+    try {
+      URI uri = URI.create(v);
+      if (uri.getHost() != null) {
+        return uri;
+      }
+    } catch (IllegalArgumentException e) {
+      throw new UsageException(String.format(Texts.NOT_A_URL, option, v));
+    }
+    throw new UsageException(String.format(Texts.NOT_A_URL, option, v));
+  }
+
+  Optional<Long> number(String option) throws UsageException {
+    String v = line.getOptionValue(option);
+    if (v == null) {
+      return Optional.empty();
+    }
+    try {
+      return Optional.of(Long.parseLong(v));
+    } catch (NumberFormatException e) {
+      throw new UsageException(String.format(Texts.NOT_A_NUMBER, option, v));
+    }
+  }
+
+  Section section() throws UsageException {
+    var s = Section.parse(required(Texts.SECTION));
+    if (s.isLeft()) {
+      throw new UsageException(s.getLeft().message());
+    }
+    return s.get();
+  }
+
+  /** Checks the number of words and returns the last one as a file. */
+  String file(int words) throws UsageException {
+    if (words().size() <= words) {
+      throw new UsageException(Texts.MISSING_FILE);
+    }
+    noMoreThan(words + 1);
+    return words().get(words);
+  }
+
+  void noMoreThan(int words) throws UsageException {
+    if (words().size() > words) {
+      throw new UsageException(String.format(Texts.EXTRA_ARGUMENT, words().get(words)));
+    }
+  }
+
+  static String read(String file) throws CommandException {
+    try {
+      return Files.readString(Path.of(file));
+    } catch (IOException e) {
+      String m = String.format(Texts.UNREADABLE, file, e.getClass().getSimpleName());
+      throw new CommandException(Failure.of(ErrorKind.INVALID_REQUEST, m));
+    }
+  }
+
+  /** The command line can't be understood; exit code 2. */
+  static final class UsageException extends Exception {
+    private static final long serialVersionUID = 1;
+
+    UsageException(String message) {
+      super(message);
+    }
+  }
+
+  /** The command was refused or failed; exit code 1. */
+  static final class CommandException extends Exception {
+    private static final long serialVersionUID = 1;
+    private final transient Failure failure;
+
+    CommandException(Failure failure) {
+      super(failure.message());
+      this.failure = failure;
+    }
+
+    Failure failure() {
+      return failure;
+    }
+  }
+}
--- /dev/null
+++ b/org.cowslipyoke.pgm/src/main/java/org/cowslipyoke/pgm/Main.java
@@ -0,0 +1,111 @@
+package org.cowslipyoke.pgm;
+
+import java.io.PrintWriter;
+import java.net.URI;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.function.Function;
+import org.cowslipyoke.http.HttpConnector;
+import org.cowslipyoke.http.HttpTransactionalTable;
+import org.cowslipyoke.http.HttpVmList;
+import org.cowslipyoke.pgm.Arguments.CommandException;
+import org.cowslipyoke.pgm.Arguments.UsageException;
+import org.cowslipyoke.platform.TransactionalTable;
+import org.cowslipyoke.platform.VmList;
+import org.cowslipyoke.util.Clock;
+
+/** The program {@code cowslipyoke}. */
+public final class Main {
+
+  /** Exit code of a command that was done. */
+  public static final int DONE = 0;
+
+  /** Exit code of a command that was refused or failed. */
+  public static final int FAILED = 1;
+
+  /** Exit code of a command line that can't be understood. */
+  public static final int USAGE = 2;
+
+  /** Time-out of one call to the platform. */
+  private static final long CALL_MS = 5_000;
+
+  private Main() {}
+
+  /** Runs one command; the exit code is the result. */
+  public static void main(String[] args) {
+    PrintWriter out = new PrintWriter(System.out, true, StandardCharsets.UTF_8);
+    PrintWriter err = new PrintWriter(System.err, true, StandardCharsets.UTF_8);
+    int code;
+    try (HttpConnector connector =
+        HttpConnector.start("cowslipyoke", HttpConnector.Limits.defaults())) {
+      Platform platform =
+          new Platform(
+              u -> new HttpTransactionalTable(connector, u, CALL_MS),
+              u -> new HttpVmList(connector, u, CALL_MS));
+      code = run(args, out, err, platform, Clock.system());
+    }
+    System.exit(code);
+  }
+
+  /** How the tool reaches the platform's services. */
+  record Platform(Function<URI, TransactionalTable> table, Function<URI, VmList> vms) {}
+
+  /** Runs one command and returns the exit code. */
+  static int run(String[] args, PrintWriter out, PrintWriter err, Platform platform, Clock clock) {
+    Output output = new Output(out, err, List.of(args).contains("--" + Texts.JSON));
+    try {
+      Arguments a = Arguments.parse(args);
+      if (a.has(Texts.HELP)) {
+        out.println(Texts.USAGE);
+      } else if (a.has(Texts.VERSION)) {
+        out.println("cowslipyoke " + version());
+      } else {
+        command(a, output, platform, clock);
+      }
+      return DONE;
+    } catch (UsageException e) {
+      err.println(e.getMessage());
+      err.println(Texts.USAGE);
+      return USAGE;
+    } catch (CommandException e) {
+      output.failure(e.failure());
+      return FAILED;
+    }
+  }
+
+  private static void command(Arguments a, Output output, Platform platform, Clock clock)
+      throws UsageException, CommandException {
+    List<String> words = a.words();
+    String first = words.isEmpty() ? "" : words.get(0);
+    String second = words.size() < 2 ? "" : words.get(1);
+    ConfigCommands config = new ConfigCommands(a, output, clock);
+    switch (first) {
+      case "config" -> {
+        switch (second) {
+          case "validate" -> config.validate();
+          case "diff" -> config.diff(table(a, platform));
+          case "apply" -> config.apply(table(a, platform));
+          case "show" -> config.show(table(a, platform));
+          case "history" -> config.history(table(a, platform));
+          default -> throw unknown(first + " " + second);
+        }
+      }
+      case "audit" -> config.audit(table(a, platform));
+      case "status" -> new StatusCommand(a, output, platform).call();
+      default -> throw unknown(first);
+    }
+  }
+
+  private static TransactionalTable table(Arguments a, Platform platform) throws UsageException {
+    return platform.table().apply(a.url(Texts.TABLE));
+  }
+
+  private static UsageException unknown(String command) {
+    return new UsageException(String.format(Texts.UNKNOWN_COMMAND, command.strip()));
+  }
+
+  private static String version() {
+    String v = Main.class.getPackage().getImplementationVersion();
+    return v == null ? "0.1.0-SNAPSHOT" : v;
+  }
+}
--- /dev/null
+++ b/org.cowslipyoke.test/src/test/java/org/cowslipyoke/pgm/package-info.java
@@ -0,0 +1,5 @@
+/** Tests of the command-line tool. */
+@NullMarked
+package org.cowslipyoke.pgm;
+
+import org.jspecify.annotations.NullMarked;
