--- a/org.cowslipyoke/src/main/java/org/cowslipyoke/suspect/SuspectJson.java
+++ b/org.cowslipyoke/src/main/java/org/cowslipyoke/suspect/SuspectJson.java
@@ -26,9 +26,16 @@
 
   /** Returns the entries as a JSON object. */
   static ObjectNode write(Snapshot snapshot) {
-    ObjectNode root = JSON.createObjectNode();
+    ObjectNode root = JSON.createObjectNode().put("version", snapshot.version());
     ObjectNode entries = root.putObject("entries");
-    snapshot.entries().forEach((d, e) -> entries.putArray(d).add(e.crashes()).add(e.sinceWallMs()));
+    snapshot
+        .entries()
+        .forEach(
+            (d, e) ->
+                entries
+                    .putObject(d)
+                    .put("crashes", e.crashes())
+                    .put("sinceWallMs", e.sinceWallMs()));
     return root;
   }
 
