--- a/org.cowslipyoke/src/main/java/org/cowslipyoke/suspect/SuspectsCodec.java
+++ b/org.cowslipyoke/src/main/java/org/cowslipyoke/suspect/SuspectsCodec.java
@@ -41,14 +41,10 @@
     return tree;
   }
 
-  /** Returns the list as JSON text. */
-  public static String toJson(Snapshot snapshot) {
-    return toTree(snapshot).toString();
-  }
-
-  /** Parses the JSON text of a list. */
-  public static Either<Failure, Snapshot> parse(String json) {
+  /** Parses the value of the table row; the version of the list is that of the row. */
+  public static Either<Failure, Snapshot> parse(long rowVersion, String json) {
     return ConfigurationDocument.readObject(json.getBytes(StandardCharsets.UTF_8))
+        .map(tree -> tree.put(VERSION, rowVersion))
         .flatMap(SuspectsCodec::ofTree);
   }
 
