--- /dev/null
+++ b/org.cowslipyoke.test/src/test/java/org/cowslipyoke/lease/OrderLeaseTest.java
@@ -0,0 +1,215 @@
+package org.cowslipyoke.lease;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.cowslipyoke.errors.ErrorKind;
+import org.cowslipyoke.fake.FakeTable;
+import org.cowslipyoke.fake.ManualClock;
+import org.cowslipyoke.lease.LoadingSlots.Slot;
+import org.junit.jupiter.api.Test;
+
+class OrderLeaseTest {
+
+  private static final long NEEDED_MS = 1_000;
+
+  private final ManualClock clock = new ManualClock();
+  private final FakeTable table = new FakeTable(clock);
+  private final List<PauseDetector> detectors = new ArrayList<>();
+  private int tokens;
+
+  private OrderLease lease(PauseDetector pauses) {
+    detectors.add(pauses);
+    return new OrderLease(table, clock, pauses, "s1", () -> "t" + tokens++);
+  }
+
+  private OrderLease lease() {
+    return lease(new PauseDetector(clock));
+  }
+
+  private LoadingSlots slots(String vm) {
+    return new LoadingSlots(table, clock, vm, () -> "t" + tokens++);
+  }
+
+  /** Lets time pass while all processes run. */
+  private void run(long ms) {
+    for (long left = ms; left > 0; left -= PauseDetector.TICK_MS) {
+      clock.advance(Math.min(left, PauseDetector.TICK_MS));
+      detectors.forEach(PauseDetector::tick);
+    }
+  }
+
+  private static ErrorKind kindOf(OrderLease l, boolean waitOutEarlier) {
+    return l.checkOrder(waitOutEarlier, NEEDED_MS).getLeft().kind();
+  }
+
+  /** Guards against a fencing number that repeats, and against writes that are not needed. */
+  @Test
+  void numberGrowsWithEachAcquisition() {
+    OrderLease a = lease();
+    assertEquals(1, a.acquire().get());
+    assertEquals(1, a.acquire().get());
+    assertEquals(1, table.commits());
+    run(OrderLease.TERM_MS);
+    assertEquals(ErrorKind.NOT_READY, kindOf(a, false));
+    assertEquals(2, a.acquire().get());
+    assertEquals(2, a.checkOrder(true, NEEDED_MS).get());
+    assertEquals(3, lease().acquire().get());
+  }
+
+  /** Guards against an order of a holder that was frozen beyond its term. */
+  @Test
+  void frozenHolderGivesNoOrderUntilItAcquiresAgain() {
+    PauseDetector frozen = new PauseDetector(clock);
+    OrderLease a = lease(frozen);
+    a.acquire().get();
+    clock.advance(OrderLease.TERM_MS / 2);
+    // The pause ended within the term; the state of the process is old all the same.
+    assertEquals(ErrorKind.NOT_READY, kindOf(a, false));
+    assertEquals(ErrorKind.NOT_READY, a.acquire().getLeft().kind());
+    frozen.caughtUp(frozen.pauses());
+    assertEquals(ErrorKind.NOT_READY, kindOf(a, false));
+    clock.advance(OrderLease.TERM_MS);
+    frozen.caughtUp(frozen.pauses());
+    assertEquals(2, a.acquire().get());
+    assertEquals(2, a.checkOrder(false, NEEDED_MS).get());
+  }
+
+  /** Guards against two holders that give orders to an engine without fencing at one time. */
+  @Test
+  void nextHolderWaitsOutTheTermOfTheEarlierOne() {
+    final OrderLease a = lease();
+    final OrderLease b = lease();
+    a.acquire().get();
+    assertEquals(2, b.acquire().get());
+    assertEquals(2, b.checkOrder(false, NEEDED_MS).get());
+    while (b.checkOrder(true, NEEDED_MS).isLeft()) {
+      long wait = b.checkOrder(true, NEEDED_MS).getLeft().retryAfterMs();
+      run(Math.max(1, Math.min(wait, PauseDetector.TICK_MS)));
+      b.acquire();
+      assertFalse(
+          a.checkOrder(true, 0).isRight() && b.checkOrder(true, 0).isRight(),
+          "both may give orders");
+    }
+    assertTrue(a.checkOrder(true, 0).isLeft());
+  }
+
+  /** Guards against a wait after a planned stop, and after a row that ended long ago. */
+  @Test
+  void endedLeaseIsNotWaitedOut() {
+    OrderLease a = lease();
+    a.acquire().get();
+    a.release();
+    OrderLease b = lease();
+    b.acquire().get();
+    assertTrue(b.checkOrder(true, NEEDED_MS).isRight());
+    run(OrderLease.TERM_MS + OrderLease.MAX_CLOCK_SKEW_MS + 250);
+    OrderLease c = lease();
+    c.acquire().get();
+    assertTrue(c.checkOrder(true, NEEDED_MS).isRight());
+  }
+
+  /** Guards against two holders with one number after a race. */
+  @Test
+  void onlyOneOfTwoRacingHoldersWins() {
+    OrderLease b = lease();
+    OrderLease a =
+        new OrderLease(
+            table,
+            clock,
+            new PauseDetector(clock),
+            "s1",
+            () -> {
+              // The other process commits between this one's read and its transaction.
+              b.acquire();
+              return "slow";
+            });
+    assertEquals(ErrorKind.CONFLICT, a.acquire().getLeft().kind());
+    assertEquals(ErrorKind.NOT_READY, kindOf(a, false));
+    assertEquals(1, b.checkOrder(false, NEEDED_MS).get());
+  }
+
+  /** Guards against a lease that is held in the table by a process that does not know it. */
+  @Test
+  void lostAnswerIsReadBackByToken() {
+    table.loseAnswers(1);
+    OrderLease a = lease();
+    assertEquals(1, a.acquire().get());
+    assertEquals(1, a.checkOrder(false, NEEDED_MS).get());
+  }
+
+  /** Guards against a conflict with a lost answer that passes for success. */
+  @Test
+  void lostAnswerOfConflictIsConflict() {
+    OrderLease b = lease();
+    OrderLease a =
+        new OrderLease(
+            table,
+            clock,
+            new PauseDetector(clock),
+            "s1",
+            () -> {
+              b.acquire();
+              table.loseAnswers(1);
+              return "slow";
+            });
+    assertEquals(ErrorKind.CONFLICT, a.acquire().getLeft().kind());
+  }
+
+  /** Guards against orders without a lease while the table is away. */
+  @Test
+  void outageGivesNoLeaseAndDoesNotEndTheOneThatIsHeld() {
+    OrderLease a = lease();
+    table.outage(true);
+    assertEquals(ErrorKind.STORE_UNAVAILABLE, a.acquire().getLeft().kind());
+    table.outage(false);
+    a.acquire().get();
+    table.outage(true);
+    assertEquals(1, a.acquire().get());
+    assertEquals(1, a.checkOrder(false, NEEDED_MS).get());
+    run(OrderLease.TERM_MS);
+    assertEquals(ErrorKind.STORE_UNAVAILABLE, a.acquire().getLeft().kind());
+  }
+
+  /** Guards against more than two loads at once from a store. */
+  @Test
+  void storeHasTwoSlots() {
+    final Slot first = slots("s1").acquire("w", 2).get().orElseThrow();
+    Slot second = slots("s2").acquire("w", 2).get().orElseThrow();
+    assertTrue(slots("s3").acquire("w", 2).get().isEmpty());
+    assertTrue(slots("s3").acquire("other", 2).get().isPresent());
+    slots("s2").release(second);
+    assertTrue(slots("s3").acquire("w", 1).get().isEmpty());
+    assertTrue(slots("s3").acquire("w", 2).get().isPresent());
+    assertTrue(slots("s1").renew(first).get().isPresent());
+  }
+
+  /** Guards against a frozen server that takes or frees the slot of the next holder. */
+  @Test
+  void expiredSlotOfFrozenServerHasNoEffect() {
+    LoadingSlots frozen = slots("s1");
+    Slot old = frozen.acquire("w", 1).get().orElseThrow();
+    clock.advance(LoadingSlots.TERM_MS + 2_001);
+    assertFalse(frozen.isHeld(old));
+    final Slot next = slots("s2").acquire("w", 1).get().orElseThrow();
+    assertTrue(frozen.renew(old).get().isEmpty());
+    frozen.release(old);
+    assertTrue(slots("s3").acquire("w", 1).get().isEmpty());
+    assertTrue(slots("s2").renew(next).get().isPresent());
+  }
+
+  /** Guards against a slot that is lost with the answer to its transaction. */
+  @Test
+  void slotWithLostAnswerIsReadBack() {
+    LoadingSlots s = slots("s1");
+    table.loseAnswers(1);
+    Slot slot = s.acquire("w", 2).get().orElseThrow();
+    table.loseAnswers(1);
+    assertEquals(slot.version() + 1, s.renew(slot).get().orElseThrow().version());
+    table.outage(true);
+    assertEquals(ErrorKind.STORE_UNAVAILABLE, s.acquire("w", 2).getLeft().kind());
+  }
+}
--- a/org.cowslipyoke.test/src/test/java/org/cowslipyoke/suspect/SuspectLedgerTest.java
+++ b/org.cowslipyoke.test/src/test/java/org/cowslipyoke/suspect/SuspectLedgerTest.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.util.Objects;
 import org.cowslipyoke.fake.FakeTable;
 import org.cowslipyoke.fake.ManualClock;
 import org.cowslipyoke.suspect.SuspectList.Standing;
@@ -21,13 +22,17 @@
     return list.standing("d", clock.wallMs());
   }
 
+  private int crashes() {
+    return Objects.requireNonNull(list.current().entries().get("d")).crashes();
+  }
+
   @Test
   void crashCountsAtOnceAndOnceAfterLostAnswer() {
     table.loseAnswers(1);
     ledger.crashed("d");
     assertEquals(Standing.SUSPECT, standing());
     assertTrue(ledger.flush());
-    assertEquals(1, list.current().entries().get("d").crashes());
+    assertEquals(1, crashes());
     assertEquals(Standing.SUSPECT, standing());
   }
 
@@ -40,7 +45,7 @@
     assertEquals(Standing.QUARANTINED, standing());
     table.outage(false);
     assertTrue(ledger.flush());
-    assertEquals(2, list.current().entries().get("d").crashes());
+    assertEquals(2, crashes());
   }
 
   @Test
--- /dev/null
+++ b/org.cowslipyoke/src/main/java/org/cowslipyoke/lease/OrderLease.java
@@ -0,0 +1,219 @@
+package org.cowslipyoke.lease;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import io.vavr.control.Either;
+import java.util.List;
+import java.util.Optional;
+import java.util.function.Supplier;
+import org.cowslipyoke.errors.ErrorKind;
+import org.cowslipyoke.errors.Failure;
+import org.cowslipyoke.platform.TransactionalTable;
+import org.cowslipyoke.platform.TransactionalTable.Commit;
+import org.cowslipyoke.platform.TransactionalTable.Row;
+import org.cowslipyoke.platform.TransactionalTable.Write;
+import org.cowslipyoke.util.Clock;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * The right to give orders to one backend server, with a fencing number that grows with every
+ * acquisition.
+ *
+ * <p>The row {@code lease/<vm>} holds the number, the token of the acquisition and the wall time at
+ * which its term ends. It never expires, because the number must not start again. The lease is
+ * acquired when there is an order to give and is not renewed in the background.
+ */
+public final class OrderLease {
+
+  /** Term of a lease in milliseconds. */
+  public static final long TERM_MS = 10_000;
+
+  /**
+   * Time that is added to the term of an earlier holder, in milliseconds, for clocks that run at
+   * different speeds and for an order that its holder sent at the end of its term.
+   */
+  public static final long MARGIN_MS = 2_000;
+
+  /**
+   * Difference that the wall clocks of two VMs are assumed to stay below, in milliseconds. Only a
+   * term that ended longer ago by the wall clock is not waited out.
+   */
+  public static final long MAX_CLOCK_SKEW_MS = 60_000;
+
+  /**
+   * An acquired lease.
+   *
+   * @param version version of the row
+   * @param endsMs end of the term on the monotonic clock
+   * @param endsWallMs end of the term on the wall clock
+   * @param earlierEndsMs end of the wait for the earlier holder on the monotonic clock
+   * @param pauses number of pauses of the process at the acquisition
+   */
+  private record Held(
+      long number,
+      long version,
+      long endsMs,
+      long endsWallMs,
+      long earlierEndsMs,
+      String token,
+      long pauses) {}
+
+  private final TransactionalTable table;
+  private final Clock clock;
+  private final PauseDetector pauses;
+  private final String key;
+  private final Supplier<String> tokens;
+  private @Nullable Held held;
+
+  /**
+   * Creates a lease that is not held.
+   *
+   * @param vm VM of the backend server
+   * @param tokens gives a random token for each acquisition
+   */
+  public OrderLease(
+      TransactionalTable table,
+      Clock clock,
+      PauseDetector pauses,
+      String vm,
+      Supplier<String> tokens) {
+    this.table = table;
+    this.clock = clock;
+    this.pauses = pauses;
+    this.key = "lease/" + vm;
+    this.tokens = tokens;
+  }
+
+  /**
+   * Acquires the lease if less than half of its term remains. Blocks for up to three calls of the
+   * table.
+   *
+   * @return the fencing number; {@code NOT_READY} while the process is paused, {@code
+   *     STORE_UNAVAILABLE} if the table is not reached, {@code CONFLICT} if another process was
+   *     first
+   */
+  public synchronized Either<Failure, Long> acquire() {
+    if (!pauses.isCurrent()) {
+      return Either.left(Failure.of(ErrorKind.NOT_READY, "process was paused"));
+    }
+    if (held != null && remainingMs(held) > TERM_MS / 2) {
+      return Either.right(held.number());
+    }
+    return table.read(key).flatMap(this::acquireAfter);
+  }
+
+  /**
+   * Decides whether an order may be sent now; called immediately before it is sent.
+   *
+   * @param waitOutEarlier whether the engine ignores the fencing number, so that the term of an
+   *     earlier holder must have passed
+   * @param neededMs time that the order may take to arrive
+   * @return the fencing number to send, or {@code NOT_READY} with the time after which to try again
+   */
+  public synchronized Either<Failure, Long> checkOrder(boolean waitOutEarlier, long neededMs) {
+    Held h = held;
+    if (!pauses.isCurrent() || h == null || h.pauses() != pauses.pauses()) {
+      return notReady("lease is not held", 0);
+    }
+    long wait = h.earlierEndsMs() - clock.nowMs();
+    if (waitOutEarlier && wait > 0) {
+      return notReady("term of an earlier holder has not passed", wait);
+    }
+    if (remainingMs(h) < neededMs) {
+      return notReady("lease has expired", 0);
+    }
+    return Either.right(h.number());
+  }
+
+  /** Forgets the lease, after an engine refused its number. */
+  public synchronized void invalidate() {
+    held = null;
+  }
+
+  /**
+   * Ends the lease in the table, so that the next holder needs not wait. Does nothing if the lease
+   * is not held; a failure is left to the end of the term.
+   */
+  public synchronized void release() {
+    Held h = held;
+    held = null;
+    if (h != null && remainingMs(h) > 0) {
+      String value = value(h.token(), h.number(), 0);
+      var unused = table.commit(List.of(Write.put(key, h.version(), value)));
+    }
+  }
+
+  private Either<Failure, Long> acquireAfter(Optional<Row> row) {
+    JsonNode earlier = RowJson.read(row.map(Row::value).orElse("{}"));
+    final long number = earlier.path("number").asLong() + 1;
+    final long version = row.map(Row::version).orElse(0L);
+    final String token = tokens.get();
+    final long pausesBefore = pauses.pauses();
+    // The term counts from before the transaction, so it ends here before it ends for others.
+    final long endsMs = clock.nowMs() + TERM_MS;
+    final long endsWallMs = clock.wallMs() + TERM_MS;
+    Write write = Write.put(key, version, value(token, number, endsWallMs));
+    Either<Failure, Boolean> applied = applied(table.commit(List.of(write)), token);
+    if (applied.isLeft()) {
+      return Either.left(applied.getLeft());
+    }
+    if (!applied.get()) {
+      return Either.left(new Failure(ErrorKind.CONFLICT, "another process was first", TERM_MS));
+    }
+    long earlierEndsMs = earlierEndsMs(earlier, row.isPresent());
+    held = new Held(number, version + 1, endsMs, endsWallMs, earlierEndsMs, token, pausesBefore);
+    return Either.right(number);
+  }
+
+  /**
+   * Returns whether the transaction was applied. A lost answer is decided by the token in the row.
+   * If the write arrives after that read, a later acquisition finds a token that it does not know
+   * and waits that term out.
+   */
+  private Either<Failure, Boolean> applied(Commit commit, String token) {
+    return switch (commit.status()) {
+      case COMMITTED -> Either.right(true);
+      case CONFLICT -> Either.right(false);
+      case NOT_APPLIED ->
+          Either.left(Failure.of(ErrorKind.STORE_UNAVAILABLE, "table was not reached"));
+      case UNKNOWN ->
+          table
+              .read(key)
+              .map(
+                  r ->
+                      r.map(x -> RowJson.read(x.value()).path("token").asText().equals(token))
+                          .orElse(false));
+    };
+  }
+
+  /**
+   * The earlier holder took its lease before the transaction of this one, so its term ends at most
+   * one term from now, whatever its clock shows.
+   */
+  private long earlierEndsMs(JsonNode earlier, boolean exists) {
+    Held h = held;
+    if (h != null && earlier.path("token").asText().equals(h.token())) {
+      return h.earlierEndsMs();
+    }
+    long endedAgoMs = clock.wallMs() - earlier.path("endsWallMs").asLong(Long.MAX_VALUE / 2);
+    if (!exists || endedAgoMs > MAX_CLOCK_SKEW_MS) {
+      return clock.nowMs();
+    }
+    return clock.nowMs() + TERM_MS + MARGIN_MS;
+  }
+
+  private long remainingMs(Held h) {
+    return Math.min(h.endsMs() - clock.nowMs(), h.endsWallMs() - clock.wallMs());
+  }
+
+  private static String value(String token, long number, long endsWallMs) {
+    return RowJson.object()
+        .put("token", token)
+        .put("number", number)
+        .put("endsWallMs", endsWallMs)
+        .toString();
+  }
+
+  private static Either<Failure, Long> notReady(String message, long retryAfterMs) {
+    return Either.left(new Failure(ErrorKind.NOT_READY, message, retryAfterMs));
+  }
+}
