Print the request matrix as Markdown tables

Cause: the page docs/fault-matrix.md must be checked against the test. Change: the approved text is a table for each kind of request and the page must contain it.

--- a/org.cowslipyoke.test/src/test/java/org/cowslipyoke/matrix/RequestMatrixTest.java
+++ b/org.cowslipyoke.test/src/test/java/org/cowslipyoke/matrix/RequestMatrixTest.java
@@ -1,7 +1,11 @@
 package org.cowslipyoke.matrix;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.EnumSet;
 import java.util.List;
@@ -23,6 +27,8 @@
   private static final long LIMIT_MS = 130_000;
   private static final long REPEAT_AFTER_MS = 70_000;
 
+  private static final Path PAGE = Path.of("../docs/fault-matrix.md");
+
   /** Longer than a freeze, so that late effects are seen. */
   private static final long SETTLE_MS = 15_000;
 
@@ -31,22 +37,26 @@
 
   @ParameterizedTest
   @EnumSource(Kind.class)
-  void singleFaults(Kind kind) {
-    StringBuilder table = new StringBuilder();
+  void singleFaults(Kind kind) throws IOException {
     List<String> violations = new ArrayList<>();
+    MarkdownTable table = new MarkdownTable("fault", Step.values());
     for (Fault f : Fault.values()) {
-      table.append(f).append('\n');
       for (Step s : Step.values()) {
         Cell once = run(kind, List.of(new Injection(s, f, 1)));
         Cell twice = run(kind, List.of(new Injection(s, f, 2)));
-        String text = once.reached() ? once.text() + " / twice: " + twice.text() : "not taken";
-        table.append("  ").append(s).append(": ").append(text).append('\n');
+        table.add(f, s, once.reached() ? merge(once.text(), twice.text()) : "-");
         once.violations().forEach(v -> violations.add(f + " at " + s + ": " + v));
         twice.violations().forEach(v -> violations.add(f + " twice at " + s + ": " + v));
       }
     }
     assertEquals(List.of(), violations);
     Approvals.verify(table.toString(), Approvals.NAMES.withParameters(kind.name()));
+    String page = Files.readString(PAGE);
+    assertTrue(page.contains(table.toString()), "docs/fault-matrix.md lacks the table of " + kind);
+  }
+
+  private static String merge(String once, String twice) {
+    return once.equals(twice) ? once : once + "; twice: " + twice;
   }
 
   @ParameterizedTest
