Take a refusal on a resumed stream as not run, share the suspects codec

Cause: a server returns queued work as refused also to a stream that was resumed; the entry read that as an unknown outcome. A server that only holds the run offers no reservation, which the cost policy took as its cheapest offer. Two codecs wrote the suspects row.

Change: a refusal settles an attempt until the server has stated that it began; offers without a reservation serve for attaching only; SuspectLedger uses SuspectsCodec.

--- a/org.cowslipyoke.test/src/test/java/org/cowslipyoke/request/KeyedRunTest.java
+++ b/org.cowslipyoke.test/src/test/java/org/cowslipyoke/request/KeyedRunTest.java
@@ -79,6 +79,18 @@
     assertEquals(1, f.all(Action.Start.class).size());
   }
 
+  @Test
+  void refusalOnResumedStreamIsNotRunUnlessTheRunHasBegun() {
+    Message.Refused cold = new Message.Refused(ErrorKind.SERVER_COLD, "", 0);
+    RunFixture f = started();
+    f.closed(broken()).message(f.channel(), cold);
+    assertEquals(Outcome.NOT_RUN, f.refusal().outcome());
+    RunFixture g = started();
+    g.message(g.channel(), new Message.Started("v1", 0, 4)).closed(broken());
+    g.message(g.channel(), cold);
+    assertEquals(ErrorKind.OUTCOME_UNKNOWN, g.refusal().kind());
+  }
+
   @Test
   void crashIsNotRunAgain() {
     RunFixture f = started();
--- a/org.cowslipyoke/src/main/java/org/cowslipyoke/request/Attempt.java
+++ b/org.cowslipyoke/src/main/java/org/cowslipyoke/request/Attempt.java
@@ -15,7 +15,9 @@
   private long heardMs;
   private long resumeAtMs = Long.MAX_VALUE;
   private int resumes;
+  private final boolean startSent;
   private boolean startOnly;
+  private boolean begun;
   private boolean tokensSeen;
 
   /**
@@ -34,6 +36,7 @@
       long silenceMs) {
     this.channel = channel;
     this.server = server;
+    this.startSent = startOnly;
     this.startOnly = startOnly;
     this.heardMs = nowMs;
     this.firstTokenSilenceMs = firstTokenSilenceMs;
@@ -54,6 +57,19 @@
     return startOnly;
   }
 
+  /**
+   * Returns whether a refusal settles the attempt: a start was sent and the run has not begun. A
+   * server also sends it on a resumed stream, when it returns queued work.
+   */
+  boolean mayBeRefused() {
+    return startSent && !begun;
+  }
+
+  /** The server has stated that the run has begun. */
+  void begun() {
+    begun = true;
+  }
+
   void heard(long nowMs) {
     heardMs = nowMs;
     startOnly = false;
@@ -61,6 +77,7 @@
 
   /** New tokens have arrived. */
   void progressed() {
+    begun = true;
     tokensSeen = true;
     resumes = 0;
   }
--- a/org.cowslipyoke/src/main/java/org/cowslipyoke/request/Execution.java
+++ b/org.cowslipyoke/src/main/java/org/cowslipyoke/request/Execution.java
@@ -102,9 +102,9 @@
     if (a == null || isCrossed(message)) {
       return Optional.empty();
     }
-    boolean startOnly = a.isStartOnly();
     a.heard(clock.nowMs());
     if (message instanceof Started s) {
+      a.begun();
       announce(a, s.reusedTokens());
     } else if (message instanceof Tokens t) {
       return onTokens(a, t);
@@ -113,8 +113,8 @@
     } else if (message instanceof Failed f) {
       return end(onFailed(f));
     } else if (message instanceof Refused r) {
-      // A refusal of a resume says nothing about the run.
-      return end(startOnly ? new Result.NotRun(CallerFailures.of(r), false) : new Result.Lost());
+      return end(
+          a.mayBeRefused() ? new Result.NotRun(CallerFailures.of(r), false) : new Result.Lost());
     }
     return Optional.empty();
   }
--- a/org.cowslipyoke/src/main/java/org/cowslipyoke/request/Placement.java
+++ b/org.cowslipyoke/src/main/java/org/cowslipyoke/request/Placement.java
@@ -144,13 +144,20 @@
     if (running.isPresent() || spec.skipTokens() > 0) {
       return running;
     }
-    List<Candidate> offers = r.offers().stream().map(Held::candidate).toList();
+    List<Candidate> offers =
+        r.offers().stream().map(Held::candidate).filter(Placement::isReserved).toList();
     Optional<Candidate> best = context.policy().choose(spec.shape(), offers);
     return r.offers().stream()
         .filter(h -> best.filter(h.candidate()::equals).isPresent())
         .findAny();
   }
 
+  /** A server without room that still holds the run makes an offer that reserves nothing. */
+  private static boolean isReserved(Candidate c) {
+    Offer o = c.offer();
+    return o.runningOffset() < 0 || !o.weightVersion().isEmpty();
+  }
+
   private void abandon(ProbeRound r, long keptChannel) {
     round = null;
     abandoned.putAll(r.pending());
--- a/org.cowslipyoke/src/main/java/org/cowslipyoke/suspect/SuspectLedger.java
+++ b/org.cowslipyoke/src/main/java/org/cowslipyoke/suspect/SuspectLedger.java
@@ -30,9 +30,6 @@
  */
 public final class SuspectLedger {
 
-  /** Key of the row. */
-  public static final String ROW = "suspects";
-
   /** Changes kept while the table is away; the oldest is dropped first. */
   public static final int MAX_PENDING = SuspectList.MAX_ENTRIES;
 
@@ -112,12 +109,12 @@
       return Optional.of(base.list());
     }
     Snapshot next = apply(base.list(), batch.changes());
-    ObjectNode json = SuspectJson.write(next);
+    ObjectNode json = SuspectsCodec.toTree(next);
     ArrayNode tokens = json.putArray("tokens");
     int from = Math.max(0, base.tokens().size() + 1 - KEPT_TOKENS);
     base.tokens().subList(from, base.tokens().size()).forEach(tokens::add);
     tokens.add(batch.token());
-    Write w = Write.put(ROW, base.list().version(), json.toString());
+    Write w = Write.put(SuspectsCodec.ROW, base.list().version(), json.toString());
     CommitStatus status = table.commit(List.of(w)).status();
     // After an unknown result the next read finds the token if the write took effect.
     return status == CommitStatus.COMMITTED ? Optional.of(next) : Optional.empty();
@@ -172,7 +169,7 @@
   }
 
   private Either<Failure, Stored> read() {
-    Either<Failure, Optional<Row>> read = table.read(ROW);
+    Either<Failure, Optional<Row>> read = table.read(SuspectsCodec.ROW);
     if (read.isLeft()) {
       return Either.left(read.getLeft());
     }
@@ -180,8 +177,8 @@
       return Either.right(new Stored(new Snapshot(0, Map.of()), List.of()));
     }
     Row row = read.get().get();
-    return SuspectJson.read(row.version(), row.value())
-        .map(s -> new Stored(s, tokens(row.value())));
+    return SuspectsCodec.parse(row.value())
+        .map(s -> new Stored(new Snapshot(row.version(), s.entries()), tokens(row.value())));
   }
 
   private static List<String> tokens(String json) {
