--- a/org.cowslipyoke.bench/src/main/java/org/cowslipyoke/bench/AnswerReader.java
+++ b/org.cowslipyoke.bench/src/main/java/org/cowslipyoke/bench/AnswerReader.java
@@ -93,7 +93,7 @@
       return;
     }
     JsonNode usage = event.path("usage");
-    JsonNode cached = usage.path("prompt_tokens_details").path("cached_tokens");
+    JsonNode cached = usage.path("cached_tokens");
     if (cached.isNumber()) {
       reusedTokens = cached.asLong();
     }
--- a/org.cowslipyoke.bench/src/main/java/org/cowslipyoke/bench/Bench.java
+++ b/org.cowslipyoke.bench/src/main/java/org/cowslipyoke/bench/Bench.java
@@ -79,6 +79,7 @@
       Thread stop = new Thread(deployment::stop);
       Runtime.getRuntime().addShutdownHook(stop);
       LateWork late = new LateWork(deployment);
+      load.warmUp();
       scenario.run(new Scenario.RunContext(deployment, load, tally, late));
       tally.writeTo(result);
       ReuseMeasure.writeTo(result, deployment);
--- a/org.cowslipyoke.bench/src/main/java/org/cowslipyoke/bench/Deployment.java
+++ b/org.cowslipyoke.bench/src/main/java/org/cowslipyoke/bench/Deployment.java
@@ -123,7 +123,7 @@
     try {
       Path file = folder().resolve("apply-" + section + ".json");
       JSON.writerWithDefaultPrettyPrinter().writeValue(file.toFile(), content);
-      tool("config", "apply", "--section", section, file.toString());
+      tool("config", "apply", "--section", section, "--reason", "local run", file.toString());
     } catch (IOException e) {
       throw new BenchException("cannot write section " + section + ": " + e.getMessage());
     }
@@ -159,6 +159,15 @@
     return admin(standIn, "/admin/stats");
   }
 
+  /** Sets fault switches of a stand-in. */
+  void fault(LocalProcess standIn, String switches) {
+    String base = "http://" + HOST + ":" + standIn.awaitReady().path("adminPort").asInt();
+    CallerClient.Reply reply = http.call(HttpMethod.POST, base + "/admin/faults", switches);
+    if (reply.status() != 200) {
+      throw new BenchException("cannot set faults of " + standIn.name() + ": " + reply);
+    }
+  }
+
   /** Reads from the administrative port of a stand-in. */
   JsonNode admin(LocalProcess standIn, String path) {
     try {
@@ -178,6 +187,20 @@
     return List.copyOf(entries);
   }
 
+  /** Returns the status table that the command-line tool prints. */
+  String status() {
+    try {
+      StringBuilder lines = new StringBuilder();
+      entries.forEach(e -> lines.append(e.awaitReady()).append('\n'));
+      servers.forEach(s -> lines.append(s.daemon().awaitReady()).append('\n'));
+      Path file = folder().resolve("ready-lines.txt");
+      Files.writeString(file, lines.toString());
+      return tool("status", "--vms", url(platform("vms")), "--ready-lines", file.toString());
+    } catch (IOException e) {
+      throw new BenchException("cannot write the ready lines: " + e.getMessage());
+    }
+  }
+
   /** Returns the sum of a counter over all engines that run. */
   long engineCount(String counter) {
     return servers.stream()
@@ -228,6 +251,9 @@
     for (int i = 0; i < spec.engines() + spec.services(); i++) {
       String kind = i < spec.engines() ? "engine" : "service";
       ObjectNode settings = StandInSettings.of(kind, spec);
+      if (i < spec.engines()) {
+        settings.put("weightStore", url(platform("weights")));
+      }
       backends.add(processes.standIn(kind + "-" + backendNumber(i), kind, settings));
     }
     for (int i = 0; i < spec.entries(); i++) {
--- a/org.cowslipyoke.bench/src/main/java/org/cowslipyoke/bench/DeploymentSpec.java
+++ b/org.cowslipyoke.bench/src/main/java/org/cowslipyoke/bench/DeploymentSpec.java
@@ -50,6 +50,25 @@
         false);
   }
 
+  /** Returns the deployment of Tungysh with the given number of servers. */
+  static DeploymentSpec tungysh(int engines, int services, String policy, int engineBlocks) {
+    return new DeploymentSpec(
+        "tungysh",
+        "strip-llm",
+        "strip-llm",
+        "box-app",
+        "prompt-keep",
+        List.of("prompt-keep-a", "prompt-keep-b"),
+        "weights",
+        List.of("almaty-a", "almaty-b", "almaty-c"),
+        2,
+        engines,
+        services,
+        policy,
+        engineBlocks,
+        false);
+  }
+
   /** Returns the failure domain of the i-th VM of a kind. */
   String failureDomain(int i) {
     return failureDomains.get(i % failureDomains.size());
--- a/org.cowslipyoke.bench/src/main/java/org/cowslipyoke/bench/Load.java
+++ b/org.cowslipyoke.bench/src/main/java/org/cowslipyoke/bench/Load.java
@@ -21,6 +21,8 @@
 
   private static final long DEADLINE_MS = 20_000;
   private static final long END_TIMEOUT_S = 45;
+  private static final int WARM_UP_PROMPTS = 30;
+  private static final long WARM_UP_MS = 3000;
 
   /** Share of conversations that belong to the first three organisations, the large ones. */
   private static final double LARGE_SHARE = 0.6;
@@ -68,6 +70,23 @@
     return result;
   }
 
+  /**
+   * Sends short prompts until the servers' cold-start allowances have grown to the batch limit: 15
+   * completed runs for each server, and more because they spread unevenly. Not recorded.
+   */
+  void warmUp() {
+    Tally unrecorded = new Tally();
+    Load load = new Load(deployment, client, unrecorded, seed + 1);
+    try {
+      int prompts = WARM_UP_PROMPTS * deployment.spec().engines();
+      List<Conversation> conversations = load.conversations("warm-up-", prompts, 200);
+      load.everybody(conversations, new Turn(40, 2, "interactive"), WARM_UP_MS);
+      System.out.println("  warm-up: " + unrecorded.answered() + " of " + prompts + " answered");
+    } finally {
+      load.close();
+    }
+  }
+
   /** Sends one turn of each conversation at random times within the span; waits for all. */
   void everybody(List<Conversation> conversations, Turn turn, long spanMs) {
     List<CompletableFuture<Void>> pending = new ArrayList<>();
--- a/org.cowslipyoke.bench/src/main/java/org/cowslipyoke/bench/Scenario.java
+++ b/org.cowslipyoke.bench/src/main/java/org/cowslipyoke/bench/Scenario.java
@@ -1,7 +1,9 @@
 package org.cowslipyoke.bench;
 
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.function.Function;
 
 /** A load on a deployment. */
@@ -23,6 +25,10 @@
     Map<String, Scenario> all = new LinkedHashMap<>();
     all.put("lunch", new LunchScenario());
     all.put("domain", new DomainScenario());
+    Map<String, Scenario> further = ShortScenarios.all();
+    for (String name : List.of("cold", "overnight", "links", "swap", "soak")) {
+      all.put(name, Objects.requireNonNull(further.get(name), name));
+    }
     return all;
   }
 
--- a/org.cowslipyoke.bench/src/main/java/org/cowslipyoke/bench/StandInSettings.java
+++ b/org.cowslipyoke.bench/src/main/java/org/cowslipyoke/bench/StandInSettings.java
@@ -14,7 +14,7 @@
     ObjectNode settings = JSON.createObjectNode();
     if (kind.equals("engine")) {
       settings.put("cacheBlocks", spec.engineBlocks()).put("model", spec.model());
-      settings.put("weightStore", "").put("startCold", spec.startCold());
+      settings.put("startCold", spec.startCold());
     }
     return settings;
   }
--- a/org.cowslipyoke.bench/src/main/java/org/cowslipyoke/bench/Tally.java
+++ b/org.cowslipyoke.bench/src/main/java/org/cowslipyoke/bench/Tally.java
@@ -45,6 +45,10 @@
     }
   }
 
+  synchronized int answered() {
+    return answered;
+  }
+
   synchronized void writeTo(ObjectNode node) {
     node.set("ttft_ms", percentiles(ttftMs));
     node.set("tbt_ms", percentiles(tbtMs));
--- a/org.cowslipyoke.test/src/test/java/org/cowslipyoke/transport/FrameNodeTest.java
+++ b/org.cowslipyoke.test/src/test/java/org/cowslipyoke/transport/FrameNodeTest.java
@@ -152,4 +152,15 @@
       }
     }
   }
+
+  @Test
+  void openOnClosedNodeIsReportedAsNotSent() throws Exception {
+    try (TestNode server = new TestNode("server-1", TestNode.FAST, m -> m)) {
+      TestNode client = new TestNode("entry-1", TestNode.FAST, m -> m);
+      client.close();
+      Recorder recorder = new Recorder();
+      assertFalse(client.node.open(HOST, server.port, recorder).send(new Message.Release(1)));
+      assertEquals(ErrorKind.NO_SERVER, TestNode.take(recorder.closed).kind());
+    }
+  }
 }
--- a/org.cowslipyoke.transport/src/main/java/org/cowslipyoke/transport/IoLoop.java
+++ b/org.cowslipyoke.transport/src/main/java/org/cowslipyoke/transport/IoLoop.java
@@ -34,6 +34,8 @@
   private final AtomicBoolean woken = new AtomicBoolean();
   private final Set<FrameConnection> connections = new HashSet<>();
   private final ByteBuffer readBuffer = ByteBuffer.allocateDirect(READ_BYTES);
+  private final Object lock = new Object();
+  private boolean ended; // guarded by lock
   private volatile boolean stopped;
   private long lastTick;
 
@@ -61,9 +63,18 @@
     }
   }
 
-  /** Runs a task on the thread of this loop, after earlier ones. */
+  /**
+   * Runs a task on the thread of this loop, after earlier ones. Once the loop has ended, the task
+   * runs on a thread of its own, so that handlers are told even then.
+   */
   void execute(Runnable task) {
-    tasks.add(task);
+    synchronized (lock) {
+      if (ended) {
+        new Thread(task, thread.getName() + "-ended").start();
+        return;
+      }
+      tasks.add(task);
+    }
     if (Thread.currentThread() != thread && woken.compareAndSet(false, true)) {
       selector.wakeup();
     }
@@ -106,6 +117,10 @@
         break;
       }
     }
+    connections().forEach(c -> c.close("the node is closed"));
+    synchronized (lock) {
+      ended = true;
+    }
     runTasks();
     try {
       selector.close();
