--- a/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/runtime/SuspectsReplica.java
+++ b/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/runtime/SuspectsReplica.java
@@ -80,7 +80,7 @@
             row ->
                 row.isEmpty()
                     ? Either.right(Acceptance.STALE)
-                    : SuspectsCodec.parse(row.get().value()).map(this::offer));
+                    : SuspectsCodec.parse(row.get().version(), row.get().value()).map(this::offer));
   }
 
   private synchronized Acceptance offer(Snapshot next) {
