--- a/org.cowslipyoke.bench/src/main/java/org/cowslipyoke/bench/Deployment.java
+++ b/org.cowslipyoke.bench/src/main/java/org/cowslipyoke/bench/Deployment.java
@@ -204,6 +204,7 @@
           Path file = folder().resolve("credential-" + arguments[i + 1] + ".txt");
           Files.writeString(file, text("credentials/" + arguments[i + 1] + ".txt"));
           options.addAll(List.of("--credential-file", file.toString()));
+          options.addAll(List.of("--reason", "local deployment", "--who", "launcher"));
         } catch (IOException e) {
           throw new BenchException("cannot write a credential: " + e.getMessage());
         }
--- a/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/runtime/DaemonMetrics.java
+++ b/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/runtime/DaemonMetrics.java
@@ -4,6 +4,8 @@
 import io.micrometer.core.instrument.Gauge;
 import io.micrometer.core.instrument.MeterRegistry;
 import java.lang.management.ManagementFactory;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.concurrent.atomic.LongAdder;
 import java.util.function.DoubleSupplier;
 import org.cowslipyoke.config.ConfigurationHolder;
@@ -19,6 +21,9 @@
 
   private final MeterRegistry meters;
 
+  /** The registry refers to sources of counters weakly, so they are kept here. */
+  private final List<DoubleSupplier> sources = new ArrayList<>();
+
   DaemonMetrics(MeterRegistry meters) {
     this.meters = meters;
   }
@@ -84,6 +89,7 @@
   }
 
   private void counter(String name, DoubleSupplier value, String... tags) {
+    sources.add(value);
     FunctionCounter.builder(name, value, DoubleSupplier::getAsDouble).tags(tags).register(meters);
   }
 
--- a/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/runtime/DaemonRuntime.java
+++ b/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/runtime/DaemonRuntime.java
@@ -57,6 +57,7 @@
       new ScheduledThreadPoolExecutor(SCHEDULER_THREADS, r -> daemon(r, "scheduler"));
   private final ThreadPoolExecutor workers;
   private final ControlTime controlTime = new ControlTime();
+  private final DaemonMetrics metrics;
   private final DocumentExchange exchange;
   private final StreamDispatch dispatch;
   private final FrameNode node;
@@ -86,7 +87,7 @@
     this.readiness = new Readiness(settings, configuration, suspects, pauses, role);
     this.server = new Server(new QueuedThreadPool(HTTP_THREADS));
     this.connector = newConnector();
-    DaemonMetrics metrics = new DaemonMetrics(meters);
+    this.metrics = new DaemonMetrics(meters);
     metrics.bindState(configuration, suspects, pauses, readiness);
     metrics.bindProcess(controlTime, node.stats());
     metrics.bindExchange(exchange.stats());
