--- a/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/server/EngineExecution.java
+++ b/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/server/EngineExecution.java
@@ -1,6 +1,7 @@
 package org.cowslipyoke.daemon.server;
 
 import io.vavr.control.Either;
+import java.util.Optional;
 import java.util.concurrent.locks.LockSupport;
 import java.util.function.Consumer;
 import org.apache.logging.log4j.LogManager;
@@ -65,8 +66,9 @@
       return;
     }
     State state = read.get();
-    if (state.loading() || !state.weightVersion().equals(work.ticket().weightVersion())) {
-      run.refuse(Failure.of(ErrorKind.WRONG_VERSION, "weights changed while waiting"));
+    Optional<Failure> refusal = admission.submission(work.ticket(), state);
+    if (refusal.isPresent()) {
+      run.refuse(refusal.get());
       return;
     }
     if (run.isEnded() || run.isCancelled()) {
@@ -80,6 +82,7 @@
         engine.generate(generation(work, state.weightVersion()), relay);
     if (result.isLeft() && !relay.hasBegun() && isNotRun(result.getLeft())) {
       run.refuse(result.getLeft());
+      LOG.info("engine refused the run: {}", result.getLeft().kind());
       return;
     }
     for (int i = 0; i < MAX_RESUMES && mayResume(run, relay, result); i++) {
@@ -160,13 +163,13 @@
     Run run = work.run();
     if (relay.isWrongVersion()) {
       dropWrongVersion(work);
-    } else if (result.isRight()) {
-      run.end(result.get());
-      LOG.info("run ended with {} tokens", run.produced());
     } else if (run.isCancelled()) {
       boolean dropped = cancel(work);
       LOG.info("run cancelled after {} tokens, dropped {}", run.produced(), dropped);
       run.fail(ErrorKind.CANCELLED, Outcome.UNKNOWN, "cancelled while it ran");
+    } else if (result.isRight()) {
+      boolean whole = run.end(result.get());
+      LOG.info("run ended with {} tokens, whole {}", run.produced(), whole);
     } else {
       Failure f = result.getLeft();
       boolean stated = f.outcome() == Outcome.RUN;
--- a/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/server/Run.java
+++ b/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/server/Run.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.Predicate;
 import java.util.zip.CRC32C;
 import org.cowslipyoke.errors.ErrorKind;
@@ -33,6 +34,9 @@
   /** Streams of one run; more are refused. A repeated request of a caller shares the run. */
   private static final int MAX_STREAMS = 8;
 
+  /** Reasons with which an answer is whole; an engine also ends runs that it has dropped. */
+  private static final Set<String> FINISH_REASONS = Set.of("stop", "length");
+
   /** A stream with its position in the answer. */
   private static final class Attachment {
     private final MessageStream stream;
@@ -145,6 +149,10 @@
 
   /** Ends the run with the engine's end if the answer is whole. */
   synchronized boolean end(StreamEnd end) {
+    if (!FINISH_REASONS.contains(end.finishReason())) {
+      fail(ErrorKind.INCOMPLETE, Outcome.UNKNOWN, "engine ended the run: " + end.finishReason());
+      return false;
+    }
     if (broken || end.tokenCount() != produced()) {
       fail(
           ErrorKind.INCOMPLETE,
--- a/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/server/ServerRole.java
+++ b/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/server/ServerRole.java
@@ -8,6 +8,7 @@
 import org.cowslipyoke.daemon.runtime.DaemonContext;
 import org.cowslipyoke.daemon.runtime.Role;
 import org.cowslipyoke.daemon.runtime.Settings;
+import org.cowslipyoke.http.HttpConnector;
 import org.cowslipyoke.message.Message.Hello;
 import org.cowslipyoke.platform.ModelEngine;
 import org.cowslipyoke.platform.PlainService;
@@ -39,6 +40,7 @@
 
   private final DaemonContext context;
   private final Settings.Backend backend;
+  private final Runnable closeBackends;
   private final ServerStanding standing;
   private final RunRegistry registry = new RunRegistry();
   private final ServerPools pools = ServerPools.create();
@@ -46,20 +48,32 @@
   private final @Nullable EngineSide engineSide;
   private final @Nullable ServiceRunner service;
 
+  /**
+   * Creates the role of a server with clients over HTTP, which end with the role.
+   *
+   * @throws IllegalArgumentException if the settings name no backend
+   */
+  public ServerRole(DaemonContext context) {
+    this(context, HttpConnector.start(context.settings().vm(), HttpConnector.Limits.defaults()));
+  }
+
+  private ServerRole(DaemonContext context, HttpConnector connector) {
+    this(context, HttpBackends.of(connector, backendOf(context)), connector::close);
+  }
+
   /**
    * Creates the role of a server.
    *
+   * @param closeBackends called when the role has stopped
    * @throws IllegalArgumentException if the settings name no backend
    */
-  public ServerRole(DaemonContext context, Backends backends) {
-    Settings settings = context.settings();
-    if (settings.backend() == null) {
-      throw new IllegalArgumentException("role server needs the setting backend");
-    }
+  public ServerRole(DaemonContext context, Backends backends, Runnable closeBackends) {
     this.context = context;
-    this.backend = settings.backend();
+    this.closeBackends = closeBackends;
+    this.backend = backendOf(context);
     this.standing =
-        new ServerStanding(context.configuration(), context.pauses(), settings.failureDomain());
+        new ServerStanding(
+            context.configuration(), context.pauses(), context.settings().failureDomain());
     this.periodic = new Periodic(context.scheduler(), context.workers(), backends.random());
     ServerMetrics metrics = new ServerMetrics(context.meters());
     ModelEngine engine = backends.engine();
@@ -123,6 +137,15 @@
   public void stop() {
     periodic.stop();
     pools.stop();
+    closeBackends.run();
+  }
+
+  private static Settings.Backend backendOf(DaemonContext context) {
+    Settings.Backend backend = context.settings().backend();
+    if (backend == null) {
+      throw new IllegalArgumentException("role server needs the setting backend");
+    }
+    return backend;
   }
 
   /** Returns the admission of the engine, with which orders to it are coordinated. */
--- a/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/server/StoreNetwork.java
+++ b/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/server/StoreNetwork.java
@@ -78,7 +78,7 @@
       Store store = stores.get(v.group());
       if (store != null) {
         copies = Math.max(copies, store.copies());
-        link(v).budget().configure(store.linkBytesPerSecond());
+        link(v, store.linkBytesPerSecond()).budget().configure(store.linkBytesPerSecond());
       }
     }
     placement = new BlockPlacement(known, copies);
@@ -105,9 +105,12 @@
   }
 
   private Link link(Vm vm) {
+    return link(vm, DEFAULT_BYTES_PER_SECOND);
+  }
+
+  private Link link(Vm vm, long bytesPerSecond) {
     return links.computeIfAbsent(
-        vm,
-        v -> new Link(clients.apply(v), new LinkBudget(clock, DEFAULT_BYTES_PER_SECOND, random)));
+        vm, v -> new Link(clients.apply(v), new LinkBudget(clock, bytesPerSecond, random)));
   }
 
   private final class Access implements StoreLinks {
--- a/org.cowslipyoke/src/main/java/org/cowslipyoke/admission/EngineView.java
+++ b/org.cowslipyoke/src/main/java/org/cowslipyoke/admission/EngineView.java
@@ -82,14 +82,18 @@
     return Math.round(Math.max(0, ahead - slots + 1) * runMs / slots);
   }
 
-  /** Returns the milliseconds from submission to the first token. */
-  long firstTokenMs(int recomputedTokens) {
+  /**
+   * Returns the milliseconds from submission to the first token.
+   *
+   * @param recomputedTokens tokens to compute, with those of runs that were submitted before
+   */
+  long firstTokenMs(long recomputedTokens) {
     double token = decode > 0 ? 1000 / decode : 0;
     return Math.round(recomputedTokens * 1000.0 / prefill + token);
   }
 
   /** Returns the milliseconds to a first token that count as expected. */
-  long expectedFirstTokenMs(int recomputedTokens) {
+  long expectedFirstTokenMs(long recomputedTokens) {
     return Math.max(MIN_FIRST_TOKEN_MS, firstTokenMs(recomputedTokens));
   }
 
--- a/org.cowslipyoke/src/main/java/org/cowslipyoke/admission/Reservations.java
+++ b/org.cowslipyoke/src/main/java/org/cowslipyoke/admission/Reservations.java
@@ -3,8 +3,8 @@
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Optional;
-import java.util.function.Predicate;
 import java.util.random.RandomGenerator;
+import java.util.stream.Stream;
 import org.cowslipyoke.util.Clock;
 
 /**
@@ -21,9 +21,10 @@
    *
    * @param request the probed request
    * @param weightVersion version that was offered
+   * @param prefillTokens prompt tokens that the engine will compute
    */
   public record Reservation(
-      long id, AdmissionRequest request, String weightVersion, long expiresMs) {}
+      long id, AdmissionRequest request, String weightVersion, int prefillTokens, long expiresMs) {}
 
   private final Clock clock;
   private final Map<Long, Reservation> held = new LinkedHashMap<>();
@@ -41,8 +42,9 @@
   }
 
   /** Makes a reservation. */
-  public Reservation reserve(AdmissionRequest request, String weightVersion) {
-    Reservation r = new Reservation(nextId++, request, weightVersion, clock.nowMs() + TTL_MS);
+  public Reservation reserve(AdmissionRequest request, String weightVersion, int prefillTokens) {
+    long expires = clock.nowMs() + TTL_MS;
+    Reservation r = new Reservation(nextId++, request, weightVersion, prefillTokens, expires);
     held.put(r.id(), r);
     return r;
   }
@@ -71,10 +73,10 @@
     return held.size();
   }
 
-  /** Returns whether a valid reservation is held for a request that meets the condition. */
-  public boolean any(Predicate<AdmissionRequest> condition) {
+  /** Returns the requests with a valid reservation. */
+  public Stream<AdmissionRequest> requests() {
     expire();
-    return held.values().stream().anyMatch(r -> condition.test(r.request()));
+    return held.values().stream().map(Reservation::request);
   }
 
   /** Drops all reservations. */
--- a/org.cowslipyoke/src/main/java/org/cowslipyoke/admission/ServerAdmission.java
+++ b/org.cowslipyoke/src/main/java/org/cowslipyoke/admission/ServerAdmission.java
@@ -11,6 +11,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.random.RandomGenerator;
+import java.util.stream.Stream;
 import org.cowslipyoke.admission.Reservations.Reservation;
 import org.cowslipyoke.admission.Ticket.Dropped;
 import org.cowslipyoke.blocks.BlockChain;
@@ -22,7 +23,6 @@
 import org.cowslipyoke.platform.ModelEngine.Load;
 import org.cowslipyoke.platform.ModelEngine.State;
 import org.cowslipyoke.suspect.SuspectList;
-import org.cowslipyoke.suspect.SuspectList.Standing;
 import org.cowslipyoke.util.Clock;
 
 /**
@@ -55,8 +55,7 @@
   private final Clock clock;
   private final ServerStanding standing;
   private final ConfigurationHolder configuration;
-  private final SuspectList suspects;
-  private final SuspectList ownCrashes = new SuspectList();
+  private final SuspectRule suspects;
   private final ColdStartLimit cold;
   private final Reservations reservations;
   private final FairQueue<Ticket> queue = new FairQueue<>(QUEUE_CAPACITY);
@@ -75,7 +74,7 @@
     this.clock = clock;
     this.standing = standing;
     this.configuration = configuration;
-    this.suspects = suspects;
+    this.suspects = new SuspectRule(clock, suspects);
     this.cold = new ColdStartLimit(1);
     this.reservations = new Reservations(clock, random);
   }
@@ -86,7 +85,7 @@
     if (closed.isPresent()) {
       return left(closed.get());
     }
-    AdmissionRequest request = withStanding(probed);
+    AdmissionRequest request = suspects.marked(probed);
     Optional<Failure> refusal =
         engine.refusal(request).or(() -> suspectRefusal(request)).or(this::capacityRefusal);
     if (refusal.isPresent()) {
@@ -97,7 +96,7 @@
     long ttft =
         engine.waitMs(ahead, slots)
             + effort.fetchMs()
-            + engine.firstTokenMs(effort.recomputedTokens());
+            + engine.firstTokenMs(backlog() + effort.recomputedTokens());
     if (ttft > request.deadlineMs()) {
       return left(
           new Failure(
@@ -105,7 +104,8 @@
               "estimated time to the first token is " + ttft + " ms",
               engine.retryAfterMs()));
     }
-    Reservation r = reservations.reserve(request, engine.weightVersion());
+    Reservation r =
+        reservations.reserve(request, engine.weightVersion(), effort.recomputedTokens());
     return right(new Grant(r.id(), ttft, queue.size(), active.size(), r.weightVersion()));
   }
 
@@ -120,7 +120,7 @@
     if (closed.isPresent()) {
       return left(closed.get());
     }
-    AdmissionRequest request = withStanding(started);
+    AdmissionRequest request = suspects.marked(started);
     Optional<Reservation> held = reservations.take(reservationId, request);
     if (held.isEmpty()) {
       return left(
@@ -134,9 +134,7 @@
     if (refusal.isPresent()) {
       return left(refusal.get());
     }
-    Ticket ticket =
-        new Ticket(
-            request, held.get().weightVersion(), clock.nowMs() + Math.max(0, request.deadlineMs()));
+    Ticket ticket = ticket(held.get(), request);
     int cost = 1 + request.promptTokens() / BlockChain.BLOCK_TOKENS;
     int weight = weight(request.organisation());
     if (!queue.offer(request.priority(), request.organisation(), weight, cost, ticket)) {
@@ -153,17 +151,15 @@
   public synchronized List<Dropped> sweep() {
     List<Dropped> dropped = new ArrayList<>();
     Optional<Failure> moved = standing.moved();
-    long now = clock.nowMs();
     List<Ticket> removed =
         queue.removeIf(
             t -> {
-              Optional<Failure> reason = moved.or(() -> dropReason(t, now));
+              Optional<Failure> reason = moved.or(() -> dropReason(t));
               reason.ifPresent(f -> dropped.add(new Dropped(t, f)));
               return reason.isPresent();
             });
     turnedCold = false;
     for (Ticket t : removed) {
-      t.done();
       waiting.remove(t);
     }
     return dropped;
@@ -184,7 +180,7 @@
     next.ifPresent(
         t -> {
           waiting.remove(t);
-          t.activate(cold.period(), clock.nowMs());
+          t.activate(cold.period(), clock.nowMs(), backlog());
           active.add(t);
         });
     return next;
@@ -194,15 +190,27 @@
   public synchronized boolean withdraw(Ticket ticket) {
     boolean found = !queue.removeIf(t -> t.equals(ticket)).isEmpty();
     if (found) {
-      ticket.done();
       waiting.remove(ticket);
     }
     return found;
   }
 
+  /**
+   * Decides just before a run is sent to the engine, with the state that was read for it. The
+   * server may have turned cold, or its weights may have changed, since the run got its slot.
+   */
+  public synchronized Optional<Failure> submission(Ticket ticket, State state) {
+    onState(state);
+    if (ticket.period() != cold.period()) {
+      return coldRefusal();
+    }
+    return standing.moved().or(() -> lateRefusal(ticket)).or(() -> versionOf(ticket));
+  }
+
   /** Notes the first token of a run. */
   public synchronized void firstToken(Ticket ticket, long tookMs, int recomputedTokens) {
-    long expected = engine.expectedFirstTokenMs(recomputedTokens);
+    ticket.prefilled();
+    long expected = engine.expectedFirstTokenMs(ticket.backlogTokens() + recomputedTokens);
     note(cold.firstToken(ticket.period(), tookMs, expected));
   }
 
@@ -216,14 +224,10 @@
     if (!active.remove(ticket)) {
       return;
     }
-    ticket.done();
     if (complete) {
       cold.completed(ticket.period());
       engine.ran(clock.nowMs() - ticket.startedMs());
-      String digest = ticket.request().digest();
-      if (ownCrashes.current().entries().containsKey(digest)) {
-        ownCrashes.offer(ownCrashes.current().without(digest, clock.wallMs()));
-      }
+      suspects.completed(ticket.request().digest());
     }
   }
 
@@ -251,9 +255,7 @@
    * was in flight at two crashes here is quarantined here, also while the table is unavailable.
    */
   public synchronized void onCrash(Collection<String> digests) {
-    for (String d : new LinkedHashSet<>(digests)) {
-      ownCrashes.offer(ownCrashes.current().withCrash(d, clock.wallMs()));
-    }
+    suspects.crashed(digests);
     engine.unreachable();
     cold.turnCold();
     note(true);
@@ -310,38 +312,11 @@
     return Optional.of(new Failure(kind, message, engine.retryAfterMs()));
   }
 
-  /** The list may have named a request after it was admitted. */
-  private boolean isSuspect(AdmissionRequest r) {
-    return r.suspect() || standing(r.digest()) != Standing.CLEAR;
-  }
-
-  private AdmissionRequest withStanding(AdmissionRequest r) {
-    return standing(r.digest()) == Standing.CLEAR ? r : r.asSuspect();
-  }
-
-  private Standing standing(String digest) {
-    long wall = clock.wallMs();
-    Standing known = suspects.standing(digest, wall);
-    Standing own = ownCrashes.standing(digest, wall);
-    return known.compareTo(own) >= 0 ? known : own;
-  }
-
   private Optional<Failure> suspectRefusal(AdmissionRequest r) {
-    if (standing(r.digest()) == Standing.QUARANTINED) {
-      return Optional.of(
-          Failure.of(ErrorKind.QUARANTINED, "earlier runs of this request crashed servers"));
-    }
-    if (!r.suspect()) {
-      return Optional.empty();
-    }
-    boolean busy =
-        reservations.any(this::isSuspect)
-            || active.stream().anyMatch(t -> isSuspect(t.request()))
-            || waiting.stream().anyMatch(t -> isSuspect(t.request()));
-    return busy
-        ? Optional.of(
-            new Failure(ErrorKind.SUSPECT_BUSY, "another suspect is here", engine.retryAfterMs()))
-        : Optional.empty();
+    Stream<AdmissionRequest> tickets =
+        Stream.concat(active.stream(), waiting.stream()).map(Ticket::request);
+    return suspects.refusal(
+        r, Stream.concat(tickets, reservations.requests()), engine.retryAfterMs());
   }
 
   /** The sender names the version that it asked for or the one that it was offered. */
@@ -355,29 +330,44 @@
         : Optional.of(Failure.of(ErrorKind.WRONG_VERSION, "weights changed since the reservation"));
   }
 
-  private Optional<Failure> dropReason(Ticket t, long now) {
+  private Optional<Failure> dropReason(Ticket t) {
     if (turnedCold) {
-      return Optional.of(
-          new Failure(ErrorKind.SERVER_COLD, "the server turned cold", engine.retryAfterMs()));
-    }
-    if (now >= t.deadlineAtMs()) {
-      return Optional.of(
-          Failure.of(ErrorKind.DEADLINE_TOO_SHORT, "the deadline passed in the queue"));
-    }
-    Optional<Failure> refusal = engine.refusal(t.request());
-    if (refusal.isPresent()) {
-      return refusal;
+      return coldRefusal();
     }
-    return t.weightVersion().equals(engine.weightVersion())
-        ? suspectQuarantine(t)
-        : Optional.of(Failure.of(ErrorKind.WRONG_VERSION, "weights changed while waiting"));
+    return lateRefusal(t).or(() -> versionOf(t)).or(() -> suspects.quarantine(t.request()));
+  }
+
+  private Optional<Failure> lateRefusal(Ticket t) {
+    return clock.nowMs() < t.deadlineAtMs()
+        ? Optional.empty()
+        : Optional.of(Failure.of(ErrorKind.DEADLINE_TOO_SHORT, "the deadline passed in the queue"));
+  }
+
+  private Optional<Failure> versionOf(Ticket t) {
+    boolean same = t.weightVersion().equals(engine.weightVersion());
+    return engine
+        .refusal(t.request())
+        .or(
+            () ->
+                same
+                    ? Optional.empty()
+                    : Optional.of(
+                        Failure.of(ErrorKind.WRONG_VERSION, "weights changed while waiting")));
+  }
+
+  private Optional<Failure> coldRefusal() {
+    return Optional.of(
+        new Failure(ErrorKind.SERVER_COLD, "the server turned cold", engine.retryAfterMs()));
+  }
+
+  private Ticket ticket(Reservation held, AdmissionRequest request) {
+    long deadline = clock.nowMs() + Math.max(0, request.deadlineMs());
+    return new Ticket(request, held.weightVersion(), deadline, held.prefillTokens());
   }
 
-  private Optional<Failure> suspectQuarantine(Ticket t) {
-    return standing(t.request().digest()) == Standing.QUARANTINED
-        ? Optional.of(
-            Failure.of(ErrorKind.QUARANTINED, "earlier runs of this request crashed servers"))
-        : Optional.empty();
+  /** Returns the prompt tokens of executing runs that the engine has still to compute. */
+  private long backlog() {
+    return active.stream().mapToLong(Ticket::prefillTokensLeft).sum();
   }
 
   private int weight(String organisation) {
--- a/org.cowslipyoke/src/main/java/org/cowslipyoke/admission/Ticket.java
+++ b/org.cowslipyoke/src/main/java/org/cowslipyoke/admission/Ticket.java
@@ -11,23 +11,20 @@
   /** A run that was dropped from the queue; it has not run. */
   public record Dropped(Ticket ticket, Failure reason) {}
 
-  enum State {
-    WAITING,
-    ACTIVE,
-    DONE
-  }
-
   private final AdmissionRequest request;
   private final String weightVersion;
   private final long deadlineAtMs;
-  private State state = State.WAITING;
+  private final int prefillTokens;
   private long period;
   private long startedMs;
+  private long backlogTokens;
+  private boolean prefilling;
 
-  Ticket(AdmissionRequest request, String weightVersion, long deadlineAtMs) {
+  Ticket(AdmissionRequest request, String weightVersion, long deadlineAtMs, int prefillTokens) {
     this.request = request;
     this.weightVersion = weightVersion;
     this.deadlineAtMs = deadlineAtMs;
+    this.prefillTokens = prefillTokens;
   }
 
   /** Returns the admitted request. */
@@ -45,10 +42,6 @@
     return deadlineAtMs;
   }
 
-  State state() {
-    return state;
-  }
-
   long period() {
     return period;
   }
@@ -57,13 +50,24 @@
     return startedMs;
   }
 
-  void activate(long warmUpPeriod, long nowMs) {
-    state = State.ACTIVE;
+  /** Returns the prompt tokens that the engine had still to compute when this run got its slot. */
+  long backlogTokens() {
+    return backlogTokens;
+  }
+
+  /** Returns the prompt tokens that the engine has still to compute for this run. */
+  long prefillTokensLeft() {
+    return prefilling ? prefillTokens : 0;
+  }
+
+  void activate(long warmUpPeriod, long nowMs, long backlog) {
     period = warmUpPeriod;
     startedMs = nowMs;
+    backlogTokens = backlog;
+    prefilling = true;
   }
 
-  void done() {
-    state = State.DONE;
+  void prefilled() {
+    prefilling = false;
   }
 }
