--- a/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/runtime/DocumentExchange.java
+++ b/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/runtime/DocumentExchange.java
@@ -258,7 +258,8 @@
     long[] versions = {configVersion, suspectsVersion};
     for (int i = 0; i < versions.length; i++) {
       Replica r = replicas.get(i);
-      if (versions[i] > r.version()) {
+      // A process without a copy asks all its peers first; the peer of this frame may be behind.
+      if (r.version() > 0 && versions[i] > r.version()) {
         pullFrom(connection::open, r);
       }
     }
--- a/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/server/EngineSide.java
+++ b/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/server/EngineSide.java
@@ -1,11 +1,17 @@
 package org.cowslipyoke.daemon.server;
 
 import java.util.HexFormat;
+import java.util.Objects;
+import java.util.UUID;
+import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
 import org.cowslipyoke.admission.ServerAdmission;
 import org.cowslipyoke.admission.ServerStanding;
 import org.cowslipyoke.blocks.CacheView;
 import org.cowslipyoke.daemon.runtime.DaemonContext;
+import org.cowslipyoke.daemon.runtime.Settings;
+import org.cowslipyoke.lease.LoadingSlots;
+import org.cowslipyoke.lease.OrderLease;
 import org.cowslipyoke.platform.ModelEngine;
 import org.cowslipyoke.util.Clock;
 
@@ -20,7 +26,8 @@
     BlockExporter exporter,
     RunDriver driver,
     EngineMonitor monitor,
-    ModelServer model) {
+    ModelServer model,
+    WeightReconciler weights) {
 
   /** Connects the parts for one engine. */
   static EngineSide create(
@@ -55,7 +62,30 @@
             pools.lookups(),
             () -> runId(random));
     EngineMonitor monitor = new EngineMonitor(engine, admission, driver, cache);
-    return new EngineSide(admission, network, exporter, driver, monitor, model);
+    WeightReconciler weights = weights(context, engine, standing, admission);
+    return new EngineSide(admission, network, exporter, driver, monitor, model, weights);
+  }
+
+  private static WeightReconciler weights(
+      DaemonContext context,
+      ModelEngine engine,
+      ServerStanding standing,
+      ServerAdmission admission) {
+    Settings settings = context.settings();
+    Settings.Backend backend = Objects.requireNonNull(settings.backend());
+    Supplier<String> tokens = () -> UUID.randomUUID().toString();
+    return new WeightReconciler(
+        backend.group(),
+        context.configuration(),
+        engine,
+        new OrderLease(context.table(), context.clock(), context.pauses(), settings.vm(), tokens),
+        new LoadingSlots(context.table(), context.clock(), settings.vm(), tokens),
+        context.vms(),
+        () -> standing.refusal().isEmpty(),
+        on -> {
+          admission.holdForSwap(!on);
+          return admission.active();
+        });
   }
 
   private static String runId(RandomGenerator random) {
--- a/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/server/ServerRole.java
+++ b/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/server/ServerRole.java
@@ -47,6 +47,7 @@
   private final Periodic periodic;
   private final @Nullable EngineSide engineSide;
   private final @Nullable ServiceRunner service;
+  private volatile long nextWeightStepMs = Long.MIN_VALUE;
 
   /**
    * Creates the role of a server with clients over HTTP, which end with the role.
@@ -112,6 +113,7 @@
       periodic.every(EngineMonitor.INTERVAL_MS, e.monitor()::poll);
       periodic.every(STORES_MS, this::readStores);
       periodic.every(EXPIRE_MS, this::expire);
+      periodic.every(WeightReconciler.BUSY_MS, this::reconcileWeights);
       periodic.every(EXPORT_MS, () -> e.exporter().exportFor(EXPORT_MS));
     }
   }
@@ -136,6 +138,7 @@
   @Override
   public void stop() {
     periodic.stop();
+    engineSide().ifPresent(e -> e.weights().stop());
     pools.stop();
     closeBackends.run();
   }
@@ -173,6 +176,15 @@
     engineSide().ifPresent(e -> e.driver().pump());
   }
 
+  /** Steps the weight reconciler when the time that its last step asked for has come. */
+  void reconcileWeights() {
+    long now = context.clock().nowMs();
+    EngineSide e = engineSide;
+    if (e != null && now >= nextWeightStepMs) {
+      nextWeightStepMs = now + e.weights().step();
+    }
+  }
+
   /** Forgets old runs and cancels runs that no entry has come back for. */
   void expire() {
     for (Run r : registry.expire()) {
--- a/org.cowslipyoke.test/src/test/java/org/cowslipyoke/matrix/MatrixServer.java
+++ b/org.cowslipyoke.test/src/test/java/org/cowslipyoke/matrix/MatrixServer.java
@@ -73,9 +73,12 @@
   }
 
   private void engineUp(boolean cold) {
-    String name = vm.vm() + "-" + incarnation;
-    admission.onState(new State(name, "m", "v1", List.of(), "serve", false, 0));
-    admission.onLoad(new Load(name, cold, 0, 0, 4, 10_000, 100));
+    admission.onState(state());
+    admission.onLoad(new Load(state().incarnation(), cold, 0, 0, 4, 10_000, 100));
+  }
+
+  private State state() {
+    return new State(vm.vm() + "-" + incarnation, "m", "v1", List.of(), "serve", false, 0);
   }
 
   void engineCold() {
@@ -218,6 +221,12 @@
     world.reach(Step.SENT, this);
     ifAlive(
         () -> {
+          Optional<Failure> late = admission.submission(run.ticket, state());
+          if (late.isPresent()) {
+            admission.finished(run.ticket, false);
+            drop(run, late.get());
+            return;
+          }
           world.executed(run.start.requestId());
           world.check(
               admission.active() <= admission.allowance(), "above the cold-start allowance");
