Follow the suspects codec and name the server that finished

X-Server of a whole answer named the server that began, also after the run continued on another one.

Change: the ledger passes the row version; a whole answer names the server that ended it.

Measured: 69 tests of request, routing, claim, suspect, admission and entry pass.

--- a/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/entry/ChatReply.java
+++ b/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/entry/ChatReply.java
@@ -82,6 +82,8 @@
       writer.end("data: [DONE]\n\n".getBytes(StandardCharsets.UTF_8));
       return;
     }
+    // The run may have ended on another server than it began on.
+    writer.response().getHeaders().put(Headers.SERVER, completion.server());
     ObjectNode root = root("chat.completion");
     ObjectNode choice = root.putArray("choices").addObject().put("index", 0);
     choice
--- a/org.cowslipyoke/src/main/java/org/cowslipyoke/suspect/SuspectLedger.java
+++ b/org.cowslipyoke/src/main/java/org/cowslipyoke/suspect/SuspectLedger.java
@@ -177,8 +177,8 @@
       return Either.right(new Stored(new Snapshot(0, Map.of()), List.of()));
     }
     Row row = read.get().get();
-    return SuspectsCodec.parse(row.value())
-        .map(s -> new Stored(new Snapshot(row.version(), s.entries()), tokens(row.value())));
+    return SuspectsCodec.parse(row.version(), row.value())
+        .map(s -> new Stored(s, tokens(row.value())));
   }
 
   private static List<String> tokens(String json) {
