--- a/org.cowslipyoke.test/src/test/java/org/cowslipyoke/matrix/MarkdownTable.java
+++ b/org.cowslipyoke.test/src/test/java/org/cowslipyoke/matrix/MarkdownTable.java
@@ -21,7 +21,7 @@
 
   void add(Fault fault, Step step, String text) {
     List<String> row = rows.computeIfAbsent(fault, f -> new ArrayList<>());
-    if (row.size() != step.ordinal()) {
+    if (steps[row.size()] != step) {
       throw new IllegalStateException("cells must be added in the order of the steps");
     }
     row.add(text);
