Export blocks in parallel and judge a link by its best transfers

Change: exports have their own 4 threads and no longer count as control time; the rate of a link is the largest sample of two windows of 5 s, since an average of small transfers shows latency; an import may take as long as to recompute its blocks.

--- a/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/server/BlockImporter.java
+++ b/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/server/BlockImporter.java
@@ -27,7 +27,10 @@
 /** Imports kept blocks into the engine while their run waits. */
 final class BlockImporter {
 
-  /** Time beyond the plan's estimate after which the rest is recomputed, in milliseconds. */
+  /**
+   * Time beyond the plan's estimate after which the rest is recomputed, in milliseconds, if to
+   * recompute all of it takes no longer.
+   */
   private static final long GRACE_MS = 100;
 
   /** An import under way. */
@@ -37,8 +40,10 @@
     private final AtomicInteger firstMissing = new AtomicInteger(Integer.MAX_VALUE);
     private final long untilMs;
 
-    private Import(FetchPlan plan) {
-      this.untilMs = clock.nowMs() + 2 * plan.fetchMs() + GRACE_MS;
+    private Import(FetchPlan plan, double prefillTokensPerSecond) {
+      double tokens = plan.fetch().size() * (double) BlockChain.BLOCK_TOKENS;
+      long recomputeMs = Math.round(tokens * 1_000 / Math.max(1, prefillTokensPerSecond));
+      this.untilMs = clock.nowMs() + Math.max(2 * plan.fetchMs() + GRACE_MS, recomputeMs);
     }
 
     /**
@@ -101,8 +106,8 @@
   }
 
   /** Begins to fetch the blocks of a plan. Blocks behind a missing one are not fetched. */
-  Import begin(FetchPlan plan) {
-    Import run = new Import(plan);
+  Import begin(FetchPlan plan, double prefillTokensPerSecond) {
+    Import run = new Import(plan, prefillTokensPerSecond);
     StoreLinks links = network.access(Purpose.INTERACTIVE_IMPORT, run.untilMs);
     BlockReader reader = new BlockReader(links, clock);
     for (int i = 0; i < plan.fetch().size(); i++) {
--- a/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/server/ModelServer.java
+++ b/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/server/ModelServer.java
@@ -138,7 +138,9 @@
     }
     FetchPlan plan = planned == null ? FetchPlan.none(0) : ready(planned);
     Run run = new Run(s, clock);
-    Optional<Failure> refusal = driver.start(run, runIds.get(), () -> importer.begin(plan));
+    Optional<Failure> refusal =
+        driver.start(
+            run, runIds.get(), () -> importer.begin(plan, admission.prefillTokensPerSecond()));
     if (refusal.isPresent()) {
       send(stream, refused(refusal.get()));
       return Optional.empty();
--- a/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/server/ServerPools.java
+++ b/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/server/ServerPools.java
@@ -13,9 +13,20 @@
  *
  * @param runs executes runs or calls; rejects what exceeds its threads
  * @param transfers moves blocks
+ * @param exports writes blocks to store VMs after a run
  * @param lookups asks store VMs for probes; rejects what exceeds its threads
  */
-record ServerPools(ExecutorService runs, ExecutorService transfers, ExecutorService lookups) {
+record ServerPools(
+    ExecutorService runs,
+    ExecutorService transfers,
+    ExecutorService exports,
+    ExecutorService lookups) {
+
+  /**
+   * Blocks that are exported at the same time. One at a time took longer than the engine's memory
+   * kept the blocks: at midday a third of the returning tokens was computed again.
+   */
+  static final int EXPORT_THREADS = 4;
 
   /** More than the batch of an engine. */
   private static final int RUN_THREADS = 256;
@@ -36,12 +47,14 @@
             TRANSFER_THREADS,
             TRANSFER_THREADS,
             new ArrayBlockingQueue<>(WAITING_TRANSFERS)),
+        pool("export", 0, EXPORT_THREADS, new SynchronousQueue<>()),
         pool("lookup", 0, LOOKUP_THREADS, new SynchronousQueue<>()));
   }
 
   void stop() {
     runs.shutdown();
     transfers.shutdownNow();
+    exports.shutdownNow();
     lookups.shutdownNow();
   }
 
--- a/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/server/ServerRole.java
+++ b/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/server/ServerRole.java
@@ -36,7 +36,10 @@
   private static final long EXPIRE_MS = 1_000;
 
   /** Length of one round of exports, in milliseconds. */
-  private static final long EXPORT_MS = 200;
+  private static final long EXPORT_MS = 1_000;
+
+  /** Interval at which blocks to export are looked for, in milliseconds. */
+  private static final long EXPORT_IDLE_MS = 50;
 
   private final DaemonContext context;
   private final Settings.Backend backend;
@@ -45,6 +48,7 @@
   private final RunRegistry registry = new RunRegistry();
   private final ServerPools pools = ServerPools.create();
   private final Periodic periodic;
+  private final Periodic exports;
   private final @Nullable EngineSide engineSide;
   private final @Nullable ServiceRunner service;
   private volatile long nextWeightStepMs = Long.MIN_VALUE;
@@ -76,6 +80,7 @@
         new ServerStanding(
             context.configuration(), context.pauses(), context.settings().failureDomain());
     this.periodic = new Periodic(context.scheduler(), context.workers(), backends.random());
+    this.exports = new Periodic(context.scheduler(), pools.exports(), backends.random());
     ServerMetrics metrics = new ServerMetrics(context.meters());
     ModelEngine engine = backends.engine();
     this.engineSide =
@@ -114,7 +119,9 @@
       periodic.every(STORES_MS, this::readStores);
       periodic.every(EXPIRE_MS, this::expire);
       periodic.every(WeightReconciler.BUSY_MS, this::reconcileWeights);
-      periodic.every(EXPORT_MS, () -> e.exporter().exportFor(EXPORT_MS));
+      for (int i = 0; i < ServerPools.EXPORT_THREADS; i++) {
+        exports.every(EXPORT_IDLE_MS, () -> e.exporter().exportFor(EXPORT_MS));
+      }
     }
   }
 
@@ -138,6 +145,7 @@
   @Override
   public void stop() {
     periodic.stop();
+    exports.stop();
     engineSide().ifPresent(e -> e.weights().stop());
     pools.stop();
     closeBackends.run();
--- a/org.cowslipyoke.test/src/test/java/org/cowslipyoke/admission/LinkBudgetTest.java
+++ b/org.cowslipyoke.test/src/test/java/org/cowslipyoke/admission/LinkBudgetTest.java
@@ -69,6 +69,25 @@
     assertEquals(RATE, link.rate(), 1, "a recovered link has its configured rate again");
   }
 
+  @Test
+  void slowTransferAmongFastOnesDoesNotLowerTheRate() {
+    link.succeeded(100_000, 10);
+    link.succeeded(1_000, 50);
+    assertEquals(RATE, link.rate(), 1, "a small transfer shows latency, not the rate");
+  }
+
+  @Test
+  void linkThatBecameSlowIsNoticedAfterTwoWindows() {
+    link.succeeded(100_000, 10);
+    for (int i = 0; i < 4; i++) {
+      clock.advance(LinkBudget.WINDOW_MS / 2 + 1);
+      link.succeeded(1_000, 10);
+    }
+    assertEquals(100_000, link.rate(), 1);
+    clock.advance(2 * LinkBudget.WINDOW_MS);
+    assertEquals(RATE, link.rate(), 1, "an idle link must be tried again");
+  }
+
   @Test
   void closesAfterThreeFailuresForDoublingTimes() {
     link.failed();
--- a/org.cowslipyoke.test/src/test/java/org/cowslipyoke/matrix/MatrixEntry.java
+++ b/org.cowslipyoke.test/src/test/java/org/cowslipyoke/matrix/MatrixEntry.java
@@ -15,6 +15,7 @@
 import org.cowslipyoke.message.Message;
 import org.cowslipyoke.platform.VmList.Vm;
 import org.cowslipyoke.request.Action;
+import org.cowslipyoke.request.EntryRun;
 import org.cowslipyoke.request.RunContext;
 import org.cowslipyoke.routing.HashOnlyPolicy;
 import org.cowslipyoke.routing.RetryBudget;
@@ -36,7 +37,7 @@
   private final StringBuilder text = new StringBuilder();
   private MatrixRequest.Kind kind = MatrixRequest.Kind.IDEMPOTENT_PROMPT;
   private String requestId = "";
-  private @Nullable MatrixRequest run;
+  private @Nullable EntryRun run;
   private @Nullable Claim claim;
   private long relayed;
   private long channelBase;
@@ -90,7 +91,7 @@
   }
 
   private interface Event {
-    List<Action> deliver(MatrixRequest run);
+    List<Action> deliver(EntryRun run);
   }
 
   /** Delivers an event to the present run, after the end of a freeze. */
@@ -100,7 +101,7 @@
         delayMs,
         () -> {
           long left = frozenUntilMs - world.clock.nowMs();
-          MatrixRequest r = run;
+          EntryRun r = run;
           if (left > 0) {
             step(left, event);
           } else if (r != null && bound == generation) {
--- a/org.cowslipyoke.test/src/test/java/org/cowslipyoke/matrix/MatrixRequest.java
+++ b/org.cowslipyoke.test/src/test/java/org/cowslipyoke/matrix/MatrixRequest.java
@@ -3,10 +3,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Optional;
-import org.cowslipyoke.claim.ClaimDecision;
-import org.cowslipyoke.errors.Failure;
-import org.cowslipyoke.message.Message;
-import org.cowslipyoke.request.Action;
+import org.cowslipyoke.request.EntryRun;
 import org.cowslipyoke.request.RequestRun;
 import org.cowslipyoke.request.RequestSpec;
 import org.cowslipyoke.request.RunContext;
@@ -14,8 +11,8 @@
 import org.cowslipyoke.request.ServiceSpec;
 import org.cowslipyoke.routing.RequestShape;
 
-/** The two state machines of the entry behind one interface, and the requests of the matrix. */
-interface MatrixRequest {
+/** The requests of the matrix. */
+final class MatrixRequest {
 
   /** Kind of request. */
   enum Kind {
@@ -42,28 +39,18 @@
   }
 
   /** Organisation of all requests. */
-  String ORGANISATION = "org-a";
+  private static final String ORGANISATION = "org-a";
 
   /** Milliseconds that a caller grants. */
-  long DEADLINE_MS = 60_000;
+  private static final long DEADLINE_MS = 60_000;
 
   /** Prompt of all prompts. */
-  byte[] PROMPT = "<|user|>\nIs the arena free?\n".getBytes(StandardCharsets.UTF_8);
+  static final byte[] PROMPT = "<|user|>\nIs the arena free?\n".getBytes(StandardCharsets.UTF_8);
 
-  List<Action> start();
-
-  List<Action> onClaim(ClaimDecision decision);
-
-  List<Action> onMessage(long channel, Message message);
-
-  List<Action> onClosed(long channel, Failure failure);
-
-  List<Action> onTick();
-
-  List<Action> onRecorded();
+  private MatrixRequest() {}
 
   /** Creates a request whose caller already has some tokens. */
-  static MatrixRequest create(Kind kind, String id, long skip, RunContext context, long nowMs) {
+  static EntryRun create(Kind kind, String id, long skip, RunContext context, long nowMs) {
     Optional<String> key = kind.keyed() ? Optional.of("key-1") : Optional.empty();
     if (kind.isPrompt()) {
       RequestShape shape = new RequestShape(ORGANISATION, "m", new byte[] {1}, 4);
@@ -81,7 +68,7 @@
               List.of(),
               key,
               skip);
-      return of(new RequestRun(spec, context));
+      return new RequestRun(spec, context);
     }
     ServiceSpec spec =
         new ServiceSpec(
@@ -95,74 +82,6 @@
             false,
             key,
             nowMs + DEADLINE_MS);
-    return of(new ServiceRun(spec, context));
-  }
-
-  private static MatrixRequest of(RequestRun run) {
-    return new MatrixRequest() {
-      @Override
-      public List<Action> start() {
-        return run.start();
-      }
-
-      @Override
-      public List<Action> onClaim(ClaimDecision decision) {
-        return run.onClaim(decision);
-      }
-
-      @Override
-      public List<Action> onMessage(long channel, Message message) {
-        return run.onMessage(channel, message);
-      }
-
-      @Override
-      public List<Action> onClosed(long channel, Failure failure) {
-        return run.onClosed(channel, failure);
-      }
-
-      @Override
-      public List<Action> onTick() {
-        return run.onTick();
-      }
-
-      @Override
-      public List<Action> onRecorded() {
-        return run.onRecorded();
-      }
-    };
-  }
-
-  private static MatrixRequest of(ServiceRun run) {
-    return new MatrixRequest() {
-      @Override
-      public List<Action> start() {
-        return run.start();
-      }
-
-      @Override
-      public List<Action> onClaim(ClaimDecision decision) {
-        return run.onClaim(decision);
-      }
-
-      @Override
-      public List<Action> onMessage(long channel, Message message) {
-        return run.onMessage(channel, message);
-      }
-
-      @Override
-      public List<Action> onClosed(long channel, Failure failure) {
-        return run.onClosed(channel, failure);
-      }
-
-      @Override
-      public List<Action> onTick() {
-        return run.onTick();
-      }
-
-      @Override
-      public List<Action> onRecorded() {
-        return run.onRecorded();
-      }
-    };
+    return new ServiceRun(spec, context);
   }
 }
--- a/org.cowslipyoke/src/main/java/org/cowslipyoke/admission/LinkBudget.java
+++ b/org.cowslipyoke/src/main/java/org/cowslipyoke/admission/LinkBudget.java
@@ -37,8 +37,13 @@
   /** Burst in seconds of the rate; it bounds how far a short window may exceed the budget. */
   private static final double BURST_SECONDS = 0.25;
 
-  /** Weight of a new sample in the measured rate. */
-  private static final double SAMPLE_WEIGHT = 0.2;
+  /**
+   * Length of a window of the measured rate, in milliseconds. The rate is the largest sample of the
+   * present and the last window, as in BBR (Cardwell et al., "BBR: Congestion-Based Congestion
+   * Control", ACM Queue 14(5), 2016): a small transfer, or one of several at a time, takes longer
+   * than its share of the link, so an average would make a fast link look slow.
+   */
+  public static final long WINDOW_MS = 5_000;
 
   /** Lowest share of the configured rate; below it a recovered link would not be noticed. */
   private static final double MIN_SHARE = 0.01;
@@ -49,7 +54,9 @@
   private final Clock clock;
   private final RandomGenerator random;
   private double configured;
-  private double measured = Double.POSITIVE_INFINITY;
+  private double windowMax;
+  private double lastWindowMax;
+  private long windowStartMs;
   private double tokens;
   private long filledMs;
   private int waitingInteractive;
@@ -70,6 +77,7 @@
     this.configured = Math.max(1, bytesPerSecond);
     this.tokens = burst();
     this.filledMs = clock.nowMs();
+    this.windowStartMs = filledMs;
     this.closedUntilMs = filledMs;
     this.trialUntilMs = filledMs;
   }
@@ -115,9 +123,8 @@
 
   /** Records a complete transfer. */
   public synchronized void succeeded(long bytes, long tookMs) {
-    double sample = bytes * 1000.0 / Math.max(1, tookMs);
-    measured =
-        Double.isInfinite(measured) ? sample : measured + SAMPLE_WEIGHT * (sample - measured);
+    rollWindow();
+    windowMax = Math.max(windowMax, bytes * 1000.0 / Math.max(1, tookMs));
     answered();
   }
 
@@ -151,9 +158,25 @@
     return now >= closedUntilMs && now >= trialUntilMs;
   }
 
-  /** Returns the rate in bytes a second: the measured one if it is lower than the configured. */
+  /**
+   * Returns the rate in bytes a second: the measured one if it is lower than the configured. A link
+   * without a transfer in both windows has its configured rate, so that it is tried again.
+   */
   public synchronized double rate() {
-    return Math.max(MIN_SHARE * configured, Math.min(configured, measured));
+    rollWindow();
+    double measured = Math.max(windowMax, lastWindowMax);
+    return measured == 0
+        ? configured
+        : Math.max(MIN_SHARE * configured, Math.min(configured, measured));
+  }
+
+  private void rollWindow() {
+    long age = clock.nowMs() - windowStartMs;
+    if (age >= WINDOW_MS) {
+      lastWindowMax = age < 2 * WINDOW_MS ? windowMax : 0;
+      windowMax = 0;
+      windowStartMs = clock.nowMs();
+    }
   }
 
   /** Returns the milliseconds until a transfer of this size could be granted and done. */
