--- a/org.cowslipyoke.bench/src/main/java/org/cowslipyoke/bench/Bench.java
+++ b/org.cowslipyoke.bench/src/main/java/org/cowslipyoke/bench/Bench.java
@@ -11,6 +11,8 @@
 import org.apache.commons.cli.DefaultParser;
 import org.apache.commons.cli.Options;
 import org.apache.commons.cli.ParseException;
+import org.cowslipyoke.bench.slopes.CoreExperiments;
+import org.cowslipyoke.bench.slopes.Slopes;
 
 /** Puts load on a local deployment under each routing policy and prints the measures. */
 public final class Bench {
@@ -19,6 +21,8 @@
       List.of("cost", "round-robin", "least-loaded", "hash-only");
   private static final ObjectMapper JSON = new ObjectMapper();
 
+  private static final String SLOPES = "slopes";
+
   private Bench() {}
 
   /** Runs one scenario. The exit code tells whether it ran, not whether targets were met. */
@@ -42,6 +46,12 @@
   private static int run(CommandLine line) {
     if (line.hasOption("list")) {
       Scenario.ALL.forEach((name, s) -> System.out.println(name + "  " + s.description()));
+      System.out.println(SLOPES + "  growth of the cost of decisions, for docs/CAPACITY.md");
+      return 0;
+    }
+    if (line.getArgList().equals(List.of(SLOPES))) {
+      new Slopes(Long.parseLong(line.getOptionValue("seed", "1")), System.out)
+          .run(CoreExperiments.all());
       return 0;
     }
     List<String> policies =
--- a/org.cowslipyoke.bench/src/main/java/org/cowslipyoke/bench/slopes/CoreExperiments.java
+++ b/org.cowslipyoke.bench/src/main/java/org/cowslipyoke/bench/slopes/CoreExperiments.java
@@ -16,7 +16,7 @@
 import org.cowslipyoke.util.Rendezvous;
 
 /** Costs of the decisions that depend on the size of the fleet and of the configuration. */
-final class CoreExperiments {
+public final class CoreExperiments {
 
   private static final int TARGET_SERVERS = 3_100;
   private static final int TARGET_ORGANISATIONS = 11_000;
@@ -25,7 +25,8 @@
 
   private CoreExperiments() {}
 
-  static List<Experiment> all() {
+  /** Returns the experiments in the order of their report. */
+  public static List<Experiment> all() {
     return List.of(
         new Experiment(
             "rendezvous-time",
