Begin model requests and service calls by one piece of code

Cause: ChatRoute and ServiceRoute each built the run's context and the tie between the caller's connection and the run; Configuration kept a lookup of bearer keys that KeyIndex has replaced. Change: RunSetup serves both routes; the unused lookup is removed.

--- a/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/entry/ChatRoute.java
+++ b/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/entry/ChatRoute.java
@@ -4,39 +4,24 @@
 import java.nio.charset.StandardCharsets;
 import java.util.HexFormat;
 import java.util.List;
-import java.util.concurrent.atomic.AtomicReference;
-import java.util.function.Supplier;
 import org.cowslipyoke.blocks.BlockChain;
 import org.cowslipyoke.blocks.BlockKey;
 import org.cowslipyoke.config.Configuration;
 import org.cowslipyoke.config.Configuration.Model;
-import org.cowslipyoke.daemon.runtime.DaemonContext;
 import org.cowslipyoke.errors.ErrorKind;
 import org.cowslipyoke.errors.Failure;
-import org.cowslipyoke.platform.VmList.Vm;
 import org.cowslipyoke.request.RequestRun;
 import org.cowslipyoke.request.RequestSpec;
-import org.cowslipyoke.request.RunContext;
-import org.cowslipyoke.routing.FleetView;
 import org.cowslipyoke.routing.RequestShape;
-import org.cowslipyoke.routing.RetryBudget;
-import org.cowslipyoke.routing.RoutingPolicy;
 import org.cowslipyoke.util.Digests;
-import org.jspecify.annotations.Nullable;
 
 /** Turns the body of a model request into a run. */
 final class ChatRoute {
 
-  private final EntryServices services;
-  private final FleetView fleet;
-  private final RoutingPolicy policy;
-  private final RetryBudget retries;
+  private final RunSetup setup;
 
-  ChatRoute(EntryServices services, FleetView fleet, RoutingPolicy policy, RetryBudget retries) {
-    this.services = services;
-    this.fleet = fleet;
-    this.policy = policy;
-    this.retries = retries;
+  ChatRoute(RunSetup setup) {
+    this.setup = setup;
   }
 
   /** Returns the driver of the request, not yet started. */
@@ -52,37 +37,24 @@
       return Either.left(Failure.of(ErrorKind.NOT_FOUND, "the model does not exist"));
     }
     RequestSpec spec = spec(caller, r, model);
-    DaemonContext context = services.context();
-    Supplier<List<Vm>> servers =
-        () -> {
-          Configuration now = context.configuration().current().orElse(c);
-          return fleet.servers(model.group(), now.places());
-        };
-    RunContext runContext =
-        new RunContext(context.clock(), policy, retries, context.suspects(), servers);
-    AtomicReference<@Nullable RunDriver> driver = new AtomicReference<>();
-    ReplyWriter writer =
-        new ReplyWriter(
-            x.response(),
-            x.callback(),
-            () -> {
-              RunDriver d = driver.get();
-              if (d != null) {
-                d.callerGone();
-              }
-            });
-    ChatReply reply =
-        new ChatReply(
-            writer,
-            caller.requestId(),
-            model.name(),
-            r.stream(),
-            spec.shape().promptTokens(),
-            spec.skipTokens());
-    RequestRun run = new RequestRun(spec, runContext);
-    RunDriver d = new RunDriver(services, run, reply, caller, model.name(), end);
-    driver.set(d);
-    return Either.right(d);
+    RequestRun run = new RequestRun(spec, setup.context(model.group(), c));
+    return Either.right(
+        RunSetup.driver(
+            x,
+            writer ->
+                new RunDriver(
+                    setup.services(),
+                    run,
+                    new ChatReply(
+                        writer,
+                        caller.requestId(),
+                        model.name(),
+                        r.stream(),
+                        spec.shape().promptTokens(),
+                        spec.skipTokens()),
+                    caller,
+                    model.name(),
+                    end)));
   }
 
   private RequestSpec spec(Caller caller, ChatRequest r, Model model) {
@@ -108,7 +80,7 @@
         model.weightVersion(),
         HexFormat.of().formatHex(digest),
         caller.priority(),
-        services.context().clock().nowMs() + caller.deadlineMs(),
+        setup.services().context().clock().nowMs() + caller.deadlineMs(),
         max,
         prompt,
         keys,
--- a/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/entry/EntryRole.java
+++ b/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/entry/EntryRole.java
@@ -81,11 +81,8 @@
     RoutingPolicy policy =
         RoutingPolicies.byName(context.settings().policy(), context.clock(), limits);
     RetryBudget retries = new RetryBudget(context.clock());
-    handler =
-        new EntryHandler(
-            admission,
-            new ChatRoute(services, fleet, policy, retries),
-            new ServiceRoute(services, fleet, policy, retries));
+    RunSetup setup = new RunSetup(services, fleet, policy, retries);
+    handler = new EntryHandler(admission, new ChatRoute(setup), new ServiceRoute(setup));
   }
 
   @Override
--- a/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/entry/ServiceRoute.java
+++ b/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/entry/ServiceRoute.java
@@ -8,40 +8,25 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Optional;
-import java.util.concurrent.atomic.AtomicReference;
-import java.util.function.Supplier;
 import org.cowslipyoke.config.Configuration;
 import org.cowslipyoke.config.Configuration.Service;
-import org.cowslipyoke.daemon.runtime.DaemonContext;
 import org.cowslipyoke.errors.ErrorKind;
 import org.cowslipyoke.errors.Failure;
-import org.cowslipyoke.platform.VmList.Vm;
-import org.cowslipyoke.request.RunContext;
 import org.cowslipyoke.request.ServiceRun;
 import org.cowslipyoke.request.ServiceSpec;
-import org.cowslipyoke.routing.FleetView;
-import org.cowslipyoke.routing.RetryBudget;
-import org.cowslipyoke.routing.RoutingPolicy;
 import org.cowslipyoke.util.Digests;
 import org.eclipse.jetty.http.HttpField;
 import org.eclipse.jetty.server.Request;
-import org.jspecify.annotations.Nullable;
 
 /** Turns a request below the path prefix of a plain service into a run. */
 final class ServiceRoute {
 
   private static final int MAX_HEADERS = 100;
 
-  private final EntryServices services;
-  private final FleetView fleet;
-  private final RoutingPolicy policy;
-  private final RetryBudget retries;
+  private final RunSetup setup;
 
-  ServiceRoute(EntryServices services, FleetView fleet, RoutingPolicy policy, RetryBudget retries) {
-    this.services = services;
-    this.fleet = fleet;
-    this.policy = policy;
-    this.retries = retries;
+  ServiceRoute(RunSetup setup) {
+    this.setup = setup;
   }
 
   /** Returns the service with the longest prefix of the path. */
@@ -58,30 +43,18 @@
     if (spec.isLeft()) {
       return Either.left(spec.getLeft());
     }
-    DaemonContext context = services.context();
-    Supplier<List<Vm>> servers =
-        () -> {
-          Configuration now = context.configuration().current().orElse(c);
-          return fleet.servers(service.group(), now.places());
-        };
-    RunContext runContext =
-        new RunContext(context.clock(), policy, retries, context.suspects(), servers);
-    AtomicReference<@Nullable RunDriver> driver = new AtomicReference<>();
-    ReplyWriter writer =
-        new ReplyWriter(
-            x.response(),
-            x.callback(),
-            () -> {
-              RunDriver d = driver.get();
-              if (d != null) {
-                d.callerGone();
-              }
-            });
-    ServiceReplyWriter reply = new ServiceReplyWriter(writer, caller.requestId());
-    ServiceRun run = new ServiceRun(spec.get(), runContext);
-    RunDriver d = new RunDriver(services, run, reply, caller, service.name(), end);
-    driver.set(d);
-    return Either.right(d);
+    ServiceRun run = new ServiceRun(spec.get(), setup.context(service.group(), c));
+    return Either.right(
+        RunSetup.driver(
+            x,
+            writer ->
+                new RunDriver(
+                    setup.services(),
+                    run,
+                    new ServiceReplyWriter(writer, caller.requestId()),
+                    caller,
+                    service.name(),
+                    end)));
   }
 
   private Either<Failure, ServiceSpec> spec(
@@ -119,7 +92,7 @@
             HexFormat.of().formatHex(digest),
             repeatable,
             caller.idempotencyKey(),
-            services.context().clock().nowMs() + caller.deadlineMs()));
+            setup.services().context().clock().nowMs() + caller.deadlineMs()));
   }
 
   private static List<String> headers(Request request) {
--- a/org.cowslipyoke/src/main/java/org/cowslipyoke/config/Configuration.java
+++ b/org.cowslipyoke/src/main/java/org/cowslipyoke/config/Configuration.java
@@ -2,7 +2,6 @@
 
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 
 /**
  * Immutable snapshot of the operators' document.
@@ -129,9 +128,4 @@
       int coldStartConcurrency,
       long defaultDeadlineMs,
       int maxBodyBytes) {}
-
-  /** Returns the organisation that owns a bearer key. */
-  public Optional<Organisation> organisationOfKey(String keyHash) {
-    return organisations.values().stream().filter(o -> o.keyHashes().contains(keyHash)).findFirst();
-  }
 }
