--- /dev/null
+++ b/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/RelayAttempt.java
@@ -0,0 +1,251 @@
+package org.cowslipyoke.daemon.relay;
+
+import java.io.ByteArrayOutputStream;
+import java.nio.ByteBuffer;
+import java.util.concurrent.TimeUnit;
+import org.cowslipyoke.daemon.relay.RelayDialect.AnswerHead;
+import org.cowslipyoke.relay.AttemptEnd;
+import org.cowslipyoke.relay.BackendServer;
+import org.cowslipyoke.relay.PromptPlan;
+import org.cowslipyoke.relay.ServerLoad;
+import org.eclipse.jetty.client.BytesRequestContent;
+import org.eclipse.jetty.client.Request;
+import org.eclipse.jetty.client.Response;
+import org.eclipse.jetty.client.Result;
+import org.eclipse.jetty.http.HttpFields;
+import org.eclipse.jetty.io.Content;
+import org.eclipse.jetty.util.Callback;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * A request at one server. Jetty calls the listener methods one after the other; the exchange
+ * decides with them under its own lock.
+ */
+final class RelayAttempt implements Response.Listener {
+
+  /** Largest answer that is kept until it is whole; larger ones than callers of today get. */
+  private static final int MAX_ANSWER_BYTES = 4 << 20;
+
+  /** Time by which Jetty's own deadline of the exchange is later than the request's, in ms. */
+  private static final long JETTY_GRACE_MS = 2_000;
+
+  private final RelayExchange exchange;
+  private final BackendServer server;
+  private final @Nullable PromptPlan plan;
+  private final ServerLoad load;
+  private final EventSplitter events = new EventSplitter();
+  private final ByteArrayOutputStream whole = new ByteArrayOutputStream();
+  private final long startMs;
+  private volatile boolean sent;
+  private volatile @Nullable Request jetty;
+  private volatile @Nullable AnswerHead head;
+  private HttpFields headers = HttpFields.EMPTY;
+  private boolean streaming;
+  private boolean promptRead;
+  private boolean ended;
+
+  RelayAttempt(RelayExchange exchange, BackendServer server, @Nullable PromptPlan plan) {
+    this.exchange = exchange;
+    this.server = server;
+    this.plan = plan;
+    this.load = exchange.services().loads().of(server);
+    this.startMs = exchange.services().clock().nowMs();
+  }
+
+  BackendServer server() {
+    return server;
+  }
+
+  /** Returns whether a byte of the request may have left. */
+  boolean isSent() {
+    return sent;
+  }
+
+  /** Sends the request. */
+  void send() {
+    load.begin(plan == null ? 0 : plan.unreadTokens(), plan == null ? 0 : plan.residentTokens());
+    HttpFields out =
+        exchange
+            .services()
+            .dialect()
+            .outbound(exchange.caller().headers(), exchange.outbound(server, plan));
+    long leftMs = exchange.leftMs();
+    Request r =
+        exchange
+            .services()
+            .client()
+            .newRequest(server.host(), server.port())
+            .method(exchange.request().method())
+            .path(exchange.request().target())
+            .headers(h -> h.clear().add(out))
+            .timeout(leftMs + JETTY_GRACE_MS, TimeUnit.MILLISECONDS)
+            .idleTimeout(leftMs + JETTY_GRACE_MS, TimeUnit.MILLISECONDS)
+            .onRequestBegin(x -> sent = true);
+    if (exchange.body().length > 0) {
+      r.body(new BytesRequestContent(out.get("Content-Type"), exchange.body()));
+    }
+    jetty = r;
+    r.onResponseContentAsync(this::onChunk);
+    r.send(this);
+    if (exchange.isOver()) {
+      abort();
+    }
+  }
+
+  /** Ends the exchange with the server and closes its connection. */
+  void abort() {
+    Request r = jetty;
+    if (r != null) {
+      var unused = r.abort(new IllegalStateException("the request ended"));
+    }
+  }
+
+  @Override
+  public void onHeaders(Response response) {
+    headers = response.getHeaders().asImmutable();
+    AnswerHead h = exchange.services().dialect().decodeAnswer(response.getStatus(), headers);
+    head = h;
+    boolean own = exchange.request().id().equals(h.requestId()) || h.requestId() == null;
+    streaming = exchange.isStream() && h.sealed() && own && response.getStatus() / 100 == 2;
+  }
+
+  private void onChunk(Response response, Content.Chunk chunk, Runnable demand) {
+    if (!promptRead) {
+      promptRead = true;
+      noteFirstAnswer();
+    }
+    ByteBuffer bytes = chunk.getByteBuffer();
+    if (!streaming) {
+      collect(response, bytes);
+      demand.run();
+      return;
+    }
+    byte[] complete = events.add(bytes);
+    if (complete.length == 0) {
+      demand.run();
+      return;
+    }
+    relay(complete, demand);
+  }
+
+  private void collect(Response response, ByteBuffer bytes) {
+    if (whole.size() + bytes.remaining() > MAX_ANSWER_BYTES) {
+      var unused = response.abort(new IllegalStateException("the answer is too large"));
+      return;
+    }
+    byte[] b = new byte[bytes.remaining()];
+    bytes.get(b);
+    whole.writeBytes(b);
+  }
+
+  private void relay(byte[] complete, Runnable demand) {
+    if (exchange.isOver()) {
+      return;
+    }
+    CallerSide caller = exchange.caller();
+    if (!exchange.run().isAnswerBegun()) {
+      exchange.run().answerBegun();
+      AnswerHead h = head;
+      caller.head(
+          h == null ? 200 : h.status(), exchange.services().dialect().answerHeaders(headers));
+    }
+    String id = events.lastId();
+    if (id != null) {
+      exchange.run().eventSent(id);
+    }
+    caller.part(complete, Callback.from(demand, e -> exchange.cut("the answer can't be written")));
+  }
+
+  private void noteFirstAnswer() {
+    long ms = exchange.services().clock().nowMs() - startMs;
+    load.promptRead(plan == null ? 0 : plan.unreadTokens());
+    exchange.services().metrics().answered(exchange.service(), ms);
+  }
+
+  @Override
+  public void onComplete(Result result) {
+    if (ended) {
+      return;
+    }
+    ended = true;
+    if (!promptRead) {
+      load.promptRead(plan == null ? 0 : plan.unreadTokens());
+    }
+    load.end(plan == null ? 0 : plan.residentTokens());
+    AnswerHead h = head;
+    if (result.isFailed() || h == null) {
+      broken(String.valueOf(result.getFailure()));
+      return;
+    }
+    String requestId = h.requestId();
+    if (requestId != null && !requestId.equals(exchange.request().id())) {
+      closeConnection(result);
+      broken("the answer belongs to another request");
+    } else if (h.misdirected()) {
+      exchange.attemptEnded(this, AttemptEnd.MISDIRECTED, "status " + h.status());
+    } else if (h.notRun()) {
+      load.full();
+      exchange.attemptEnded(this, AttemptEnd.REFUSED, "status " + h.status());
+    } else {
+      answered(h);
+    }
+  }
+
+  private void answered(AnswerHead h) {
+    load.answered(exchange.services().clock().nowMs() - startMs);
+    if (streaming) {
+      if (exchange.run().isAnswerBegun() || events.rest().length > 0) {
+        endStream(h);
+      } else {
+        broken("the stream has no event");
+      }
+    } else if (!h.sealed() || h.status() / 100 == 1 || isUnstatedRefusal(h)) {
+      broken("the answer has no receipt, status " + h.status());
+    } else if (h.status() >= 500) {
+      load.trouble(0.5);
+      exchange.attemptEnded(this, AttemptEnd.FAILED, "status " + h.status());
+    } else {
+      passOn();
+    }
+  }
+
+  /** A status that promises "not run" is passed on only if the server states that. */
+  private static boolean isUnstatedRefusal(AnswerHead h) {
+    return h.status() == 429 || h.status() == 503 || h.status() == 408 || h.status() == 421;
+  }
+
+  /** Passes the collected answer on to the caller. */
+  void passOn() {
+    AnswerHead h = head;
+    exchange.answered();
+    exchange
+        .caller()
+        .whole(
+            h == null ? 502 : h.status(),
+            exchange.services().dialect().answerHeaders(headers),
+            whole.toByteArray());
+  }
+
+  private void endStream(AnswerHead h) {
+    if (!exchange.run().isAnswerBegun()) {
+      exchange.caller().head(h.status(), exchange.services().dialect().answerHeaders(headers));
+    }
+    exchange.answered();
+    exchange.caller().end(events.rest());
+  }
+
+  private void broken(String reason) {
+    AttemptEnd end = sent ? AttemptEnd.BROKEN : AttemptEnd.NOT_SENT;
+    if (!exchange.isOver()) {
+      load.trouble(1);
+    }
+    exchange.attemptEnded(this, end, reason);
+  }
+
+  private static void closeConnection(Result result) {
+    var c = result.getRequest().getConnection();
+    if (c != null) {
+      c.close();
+    }
+  }
+}
--- /dev/null
+++ b/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/RelayExchange.java
@@ -0,0 +1,325 @@
+package org.cowslipyoke.daemon.relay;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.Future;
+import java.util.concurrent.RejectedExecutionException;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.cowslipyoke.daemon.relay.RelayDialect.Outbound;
+import org.cowslipyoke.errors.ErrorKind;
+import org.cowslipyoke.errors.Failure;
+import org.cowslipyoke.relay.Admission.Admitted;
+import org.cowslipyoke.relay.AttemptEnd;
+import org.cowslipyoke.relay.BackendServer;
+import org.cowslipyoke.relay.FleetState;
+import org.cowslipyoke.relay.PromptPlan;
+import org.cowslipyoke.relay.RelayRequest;
+import org.cowslipyoke.relay.RelayRun;
+import org.cowslipyoke.relay.RelayRun.Next;
+import org.cowslipyoke.relay.RequestKind;
+import org.cowslipyoke.relay.ServerGroup;
+import org.jspecify.annotations.Nullable;
+
+/** One admitted request: its attempts at servers, its end of time, and the leave of its caller. */
+final class RelayExchange {
+
+  /** Shortest time left for which another attempt is begun, in milliseconds. */
+  static final long MIN_ATTEMPT_MS = 30;
+
+  /**
+   * Shortest time for which callers wait for the first event of a stream, in milliseconds, and the
+   * objectives for which they wait at least; from the interface of the users' callers.
+   */
+  static final long STREAM_PATIENCE_MS = 2_000;
+
+  static final int STREAM_PATIENCE_OBJECTIVES = 4;
+
+  private static final Logger LOG = LogManager.getLogger(RelayExchange.class);
+
+  private final RelayServices services;
+  private final CallerSide caller;
+  private final RelayRequest request;
+  private final Admitted admitted;
+  private final String service;
+  private final byte[] body;
+  private final long startMs;
+  private final long endMs;
+  private final RelayRun run;
+  private final Consumer<RelayExchange> onDone;
+  private @Nullable RelayAttempt attempt;
+  private @Nullable Future<?> timer;
+  private boolean over;
+
+  RelayExchange(
+      RelayServices services,
+      CallerSide caller,
+      RelayRequest request,
+      Admitted admitted,
+      byte[] body,
+      long startMs,
+      Consumer<RelayExchange> onDone) {
+    this.services = services;
+    this.caller = caller;
+    this.request = request;
+    this.admitted = admitted;
+    this.service = admitted.route().service(ThreadLocalRandom.current().nextDouble());
+    this.body = body;
+    this.startMs = startMs;
+    this.endMs = startMs + Math.min(request.waitMs(), admitted.route().timeoutMs());
+    this.onDone = onDone;
+    this.run =
+        new RelayRun(
+            admitted.route(),
+            request.lastEventId(),
+            () -> services.repeats().tryRepeat(service, services.state().get().entries()));
+  }
+
+  /** Begins the first attempt. */
+  void start() {
+    services.repeats().onRequest(service);
+    caller.watch(this::callerLeft);
+    try {
+      timer = services.timers().schedule(this::timeIsUp, leftMs(), TimeUnit.MILLISECONDS);
+    } catch (RejectedExecutionException e) {
+      fail(new Failure(ErrorKind.SHUTTING_DOWN, "the process stops", 0));
+      return;
+    }
+    tryNext();
+  }
+
+  synchronized boolean isOver() {
+    return over;
+  }
+
+  RelayServices services() {
+    return services;
+  }
+
+  CallerSide caller() {
+    return caller;
+  }
+
+  RelayRun run() {
+    return run;
+  }
+
+  String service() {
+    return service;
+  }
+
+  boolean isStream() {
+    return admitted.route().kind() == RequestKind.STREAM;
+  }
+
+  byte[] body() {
+    return body;
+  }
+
+  RelayRequest request() {
+    return request;
+  }
+
+  long elapsedMs() {
+    return services.clock().nowMs() - startMs;
+  }
+
+  long leftMs() {
+    return Math.max(0, endMs - services.clock().nowMs());
+  }
+
+  /** The head of a request to a server. */
+  Outbound outbound(BackendServer server, @Nullable PromptPlan plan) {
+    String organisation = admitted.tenancy() == null ? null : admitted.tenancy().organisation();
+    return new Outbound(
+        request, server, leftMs(), organisation, admitted.priority(), plan, run.lastEventId());
+  }
+
+  private void tryNext() {
+    Placed p = place(services.state().get());
+    RelayAttempt next;
+    synchronized (this) {
+      if (over) {
+        return;
+      }
+      if (p.server() == null) {
+        attempt = null;
+      } else {
+        run.sending(p.server());
+        attempt = new RelayAttempt(this, p.server(), p.plan());
+      }
+      next = attempt;
+    }
+    if (next == null) {
+      Failure f = run.tries() > 0 ? run.failure() : p.refusal();
+      fail(f);
+    } else {
+      next.send();
+    }
+  }
+
+  private record Placed(
+      @Nullable BackendServer server, @Nullable PromptPlan plan, Failure refusal) {}
+
+  private Placed place(FleetState state) {
+    Failure none = new Failure(ErrorKind.NO_SERVER, "no server is available", 200);
+    ServerGroup group = admitted.desired().groups().get(service);
+    if (group == null) {
+      return new Placed(null, null, none);
+    }
+    List<BackendServer> candidates = candidates(state, group);
+    if (request.prompt() == null || group.engine() == null) {
+      Optional<BackendServer> s = services.services().choose(candidates);
+      return new Placed(s.filter(x -> takeCold(state, group, x)).orElse(null), null, none);
+    }
+    Optional<PromptPlan> plan =
+        services.prompts().choose(request.prompt(), admitted.tenancy(), state, group, candidates);
+    if (plan.isEmpty()) {
+      return new Placed(null, null, none);
+    }
+    double estimate = plan.get().estimateMs();
+    if (estimate > patienceMs()) {
+      String text = "the first token is expected in " + Math.round(estimate) + " ms";
+      long wait = Math.round(estimate / 2);
+      return new Placed(null, null, new Failure(ErrorKind.DEADLINE_TOO_SHORT, text, wait));
+    }
+    BackendServer server = plan.get().server();
+    return takeCold(state, group, server)
+        ? new Placed(server, plan.get(), none)
+        : new Placed(null, null, none);
+  }
+
+  private List<BackendServer> candidates(FleetState state, ServerGroup group) {
+    List<BackendServer> fresh =
+        state.available(service).stream().filter(s -> !run.wasAt(s)).toList();
+    if (group.coldPerSecond() <= 0) {
+      return fresh;
+    }
+    List<BackendServer> warm = fresh.stream().filter(s -> s.coldMs() <= 0).toList();
+    return warm.isEmpty() ? fresh : warm;
+  }
+
+  private boolean takeCold(FleetState state, ServerGroup group, BackendServer server) {
+    return group.coldPerSecond() <= 0
+        || server.coldMs() <= 0
+        || services.cold().tryTake(server, group.coldPerSecond(), state.entries());
+  }
+
+  private double patienceMs() {
+    long objective = admitted.route().objectiveMs() * STREAM_PATIENCE_OBJECTIVES;
+    long patience = Math.max(STREAM_PATIENCE_MS, objective);
+    return Math.min(leftMs(), isStream() ? patience - elapsedMs() : leftMs());
+  }
+
+  /** An attempt ended without a whole answer. */
+  void attemptEnded(RelayAttempt a, AttemptEnd end, String reason) {
+    Next next;
+    synchronized (this) {
+      if (over || attempt != a) {
+        return;
+      }
+      attempt = null;
+      boolean others =
+          services.state().get().available(service).stream().anyMatch(s -> !run.wasAt(s));
+      next = run.after(end, others, leftMs() >= MIN_ATTEMPT_MS);
+    }
+    services.metrics().attempt(service, end.name());
+    LOG.info(
+        "attempt ended: request={} server={} end={} reason={} tries={} elapsedMs={} leftMs={}"
+            + " next={}",
+        request.id(),
+        a.server().id(),
+        end,
+        reason,
+        run.tries(),
+        elapsedMs(),
+        leftMs(),
+        next);
+    switch (next) {
+      case AGAIN -> tryNext();
+      case PASS_ON -> a.passOn();
+      case FAIL -> fail(run.failure());
+      case CUT -> cut("the server's answer broke off");
+    }
+  }
+
+  /** An answer was passed on as a whole. */
+  void answered() {
+    finish();
+  }
+
+  private void timeIsUp() {
+    boolean begun;
+    boolean inFlight;
+    synchronized (this) {
+      if (over) {
+        return;
+      }
+      begun = run.isAnswerBegun();
+      inFlight = attempt != null && attempt.isSent();
+    }
+    if (begun) {
+      cut("the time of the request is up");
+    } else {
+      fail(run.timeout(inFlight));
+    }
+  }
+
+  private void callerLeft() {
+    RelayAttempt a = finish();
+    if (a != null) {
+      LOG.info(
+          "caller left: request={} server={} elapsedMs={}",
+          request.id(),
+          a.server().id(),
+          elapsedMs());
+    }
+    caller.cut(new IllegalStateException("the caller left"));
+  }
+
+  void cut(String reason) {
+    LOG.info("answer cut: request={} reason={} elapsedMs={}", request.id(), reason, elapsedMs());
+    finish();
+    caller.cut(new IllegalStateException(reason));
+  }
+
+  private void fail(Failure f) {
+    services.metrics().own(f.kind());
+    LOG.info(
+        "own answer: request={} route={} kind={} reason={} tries={} elapsedMs={}",
+        request.id(),
+        admitted.route().name(),
+        f.kind(),
+        f.message(),
+        run.tries(),
+        elapsedMs());
+    finish();
+    caller.failure(f, request.id());
+  }
+
+  /** Ends the exchange; returns the attempt that was in flight and is now aborted. */
+  private @Nullable RelayAttempt finish() {
+    RelayAttempt a;
+    Future<?> t;
+    synchronized (this) {
+      if (over) {
+        return null;
+      }
+      over = true;
+      a = attempt;
+      attempt = null;
+      t = timer;
+    }
+    if (t != null) {
+      t.cancel(false);
+    }
+    if (a != null) {
+      a.abort();
+    }
+    onDone.accept(this);
+    return a;
+  }
+}
--- /dev/null
+++ b/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/RelayHandler.java
@@ -0,0 +1,126 @@
+package org.cowslipyoke.daemon.relay;
+
+import io.vavr.control.Either;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.cowslipyoke.errors.ErrorKind;
+import org.cowslipyoke.errors.Failure;
+import org.cowslipyoke.relay.Admission.Admitted;
+import org.cowslipyoke.relay.DesiredState;
+import org.cowslipyoke.relay.RelayRequest;
+import org.eclipse.jetty.io.Content;
+import org.eclipse.jetty.server.Handler;
+import org.eclipse.jetty.server.Request;
+import org.eclipse.jetty.server.Response;
+import org.eclipse.jetty.util.Callback;
+import org.eclipse.jetty.util.Promise;
+import org.jspecify.annotations.Nullable;
+
+/** Takes requests of callers, admits them and begins their exchange. */
+final class RelayHandler extends Handler.Abstract.NonBlocking {
+
+  private static final Logger LOG = LogManager.getLogger(RelayHandler.class);
+
+  /** Largest body before a desired state states one, in bytes. */
+  private static final int DEFAULT_MAX_BODY_BYTES = 1 << 20;
+
+  private final RelayServices services;
+  private final Set<RelayExchange> running = ConcurrentHashMap.newKeySet();
+  private volatile boolean closing;
+  private volatile boolean refusing;
+
+  RelayHandler(RelayServices services) {
+    this.services = services;
+  }
+
+  /** From now on each answer ends its connection. */
+  void closeConnections() {
+    closing = true;
+  }
+
+  /** From now on new requests are refused as not run. */
+  void refuseNew() {
+    refusing = true;
+  }
+
+  /** Returns the number of requests in service. */
+  int running() {
+    return running.size();
+  }
+
+  @Override
+  public boolean handle(Request request, Response response, Callback callback) {
+    final long startMs = services.clock().nowMs();
+    request.addIdleTimeoutListener(e -> false);
+    CallerSide caller = new CallerSide(request, response, callback, services.dialect(), closing);
+    Either<Failure, RelayRequest> decoded = services.dialect().decode(request);
+    if (decoded.isLeft()) {
+      return refuse(caller, decoded.getLeft(), null);
+    }
+    RelayRequest r = decoded.get();
+    if (refusing) {
+      return refuse(caller, new Failure(ErrorKind.SHUTTING_DOWN, "the process stops", 100), r);
+    }
+    DesiredState d = services.state().get().desired();
+    int max = d == null ? DEFAULT_MAX_BODY_BYTES : d.maxBodyBytes();
+    if (request.getLength() == 0) {
+      begin(caller, r, new byte[0], startMs);
+      return true;
+    }
+    Content.Source.asByteArrayAsync(
+        request,
+        max,
+        new Promise.Invocable<byte[]>() {
+          @Override
+          public void succeeded(byte[] body) {
+            begin(caller, r, body, startMs);
+          }
+
+          @Override
+          public void failed(Throwable e) {
+            bodyNotRead(caller, r, e);
+          }
+        });
+    return true;
+  }
+
+  private void bodyNotRead(CallerSide caller, RelayRequest r, Throwable e) {
+    if (e instanceof IllegalStateException) {
+      refuse(caller, Failure.of(ErrorKind.TOO_LARGE, "the body is too large"), r);
+    } else {
+      LOG.info("body not read: request={} reason={}", r.id(), e.toString());
+      caller.cut(e);
+    }
+  }
+
+  private void begin(CallerSide caller, RelayRequest r, byte[] body, long startMs) {
+    try {
+      Either<Failure, Admitted> admitted = services.admission().admit(r);
+      if (admitted.isLeft()) {
+        refuse(caller, admitted.getLeft(), r);
+        return;
+      }
+      RelayExchange x =
+          new RelayExchange(services, caller, r, admitted.get(), body, startMs, running::remove);
+      running.add(x);
+      x.start();
+    } catch (RuntimeException e) {
+      LOG.error("request failed: request={}", r.id(), e);
+      caller.failure(Failure.of(ErrorKind.INTERNAL, "the entry failed"), r.id());
+    }
+  }
+
+  private boolean refuse(CallerSide caller, Failure f, @Nullable RelayRequest r) {
+    services.metrics().own(f.kind());
+    LOG.info(
+        "refused: request={} kind={} reason={} stateAgeMs={}",
+        r == null ? "" : r.id(),
+        f.kind(),
+        f.message(),
+        services.state().operatorAgeMs());
+    caller.failure(f, r == null ? null : r.id());
+    return true;
+  }
+}
--- /dev/null
+++ b/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/RelayServices.java
@@ -0,0 +1,27 @@
+package org.cowslipyoke.daemon.relay;
+
+import java.util.concurrent.ScheduledExecutorService;
+import org.cowslipyoke.relay.Admission;
+import org.cowslipyoke.relay.ColdShare;
+import org.cowslipyoke.relay.PromptPlacement;
+import org.cowslipyoke.relay.RepeatBudget;
+import org.cowslipyoke.relay.ServerLoads;
+import org.cowslipyoke.relay.ServicePlacement;
+import org.cowslipyoke.relay.StateHolder;
+import org.cowslipyoke.util.Clock;
+import org.eclipse.jetty.client.HttpClient;
+
+/** What every exchange of the relay uses. */
+record RelayServices(
+    Clock clock,
+    ScheduledExecutorService timers,
+    HttpClient client,
+    RelayDialect dialect,
+    StateHolder state,
+    Admission admission,
+    PromptPlacement prompts,
+    ServicePlacement services,
+    ServerLoads loads,
+    ColdShare cold,
+    RepeatBudget repeats,
+    RelayMetrics metrics) {}
--- /dev/null
+++ b/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/WatchedConnectionFactory.java
@@ -0,0 +1,20 @@
+package org.cowslipyoke.daemon.relay;
+
+import org.eclipse.jetty.io.Connection;
+import org.eclipse.jetty.io.EndPoint;
+import org.eclipse.jetty.server.Connector;
+import org.eclipse.jetty.server.HttpConfiguration;
+import org.eclipse.jetty.server.HttpConnectionFactory;
+
+/** Makes HTTP/1.1 connections whose end point is a {@link WatchedEndPoint}. */
+final class WatchedConnectionFactory extends HttpConnectionFactory {
+
+  WatchedConnectionFactory(HttpConfiguration config) {
+    super(config);
+  }
+
+  @Override
+  public Connection newConnection(Connector connector, EndPoint endPoint) {
+    return super.newConnection(connector, new WatchedEndPoint(endPoint));
+  }
+}
--- /dev/null
+++ b/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/WatchedEndPoint.java
@@ -0,0 +1,273 @@
+package org.cowslipyoke.daemon.relay;
+
+import java.io.IOException;
+import java.net.SocketAddress;
+import java.nio.ByteBuffer;
+import java.nio.channels.ReadPendingException;
+import java.nio.channels.WritePendingException;
+import org.eclipse.jetty.io.Connection;
+import org.eclipse.jetty.io.EndPoint;
+import org.eclipse.jetty.util.BufferUtil;
+import org.eclipse.jetty.util.Callback;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * A caller's connection that notices that the caller left while its request is being served.
+ *
+ * <p>Jetty reads nothing from a connection between the end of a request and the end of its answer,
+ * so it sees a close only when it writes. This end point reads ahead in that time: bytes of a next
+ * request are kept for Jetty, the end of the stream is reported.
+ */
+final class WatchedEndPoint implements EndPoint, EndPoint.Wrapper {
+
+  /** Bytes of a next request that are kept; reading ahead stops when they are full. */
+  private static final int MAX_AHEAD = 8 << 10;
+
+  private final EndPoint endPoint;
+  private final ByteBuffer ahead = BufferUtil.allocate(MAX_AHEAD);
+  private @Nullable Callback reader;
+  private @Nullable Runnable onLeft;
+  private boolean reading;
+  private boolean ended;
+
+  WatchedEndPoint(EndPoint endPoint) {
+    this.endPoint = endPoint;
+  }
+
+  /**
+   * Starts to watch for the caller's leave.
+   *
+   * @param left called at most once, from any thread
+   */
+  void watch(Runnable left) {
+    synchronized (this) {
+      onLeft = left;
+      if (reading || reader != null || ended) {
+        return;
+      }
+      reading = true;
+    }
+    interest();
+  }
+
+  /** Stops to watch; bytes that were read stay for Jetty. */
+  synchronized void unwatch() {
+    onLeft = null;
+  }
+
+  private void interest() {
+    Callback ready = Callback.from(this::readable, e -> failed());
+    if (!endPoint.tryFillInterested(ready)) {
+      synchronized (this) {
+        reading = false;
+      }
+    }
+  }
+
+  /** The connection can be read: hands that on to Jetty if it waits, or reads ahead. */
+  private void readable() {
+    Callback waiting;
+    Runnable left = null;
+    boolean more = false;
+    synchronized (this) {
+      reading = false;
+      waiting = reader;
+      reader = null;
+      if (waiting == null) {
+        int n = fillAhead();
+        ended = n < 0;
+        left = ended ? onLeft : null;
+        more = !ended && BufferUtil.space(ahead) > 0;
+        reading = more;
+        onLeft = ended ? null : onLeft;
+      }
+    }
+    if (waiting != null) {
+      waiting.succeeded();
+    } else if (left != null) {
+      left.run();
+    } else if (more) {
+      interest();
+    }
+  }
+
+  private int fillAhead() {
+    try {
+      return endPoint.fill(ahead);
+    } catch (IOException e) {
+      return -1;
+    }
+  }
+
+  /** Jetty reports idle time-outs and closes as failed interest. */
+  private void failed() {
+    Callback waiting;
+    Runnable left;
+    synchronized (this) {
+      reading = false;
+      waiting = reader;
+      reader = null;
+      left = endPoint.isOpen() ? null : onLeft;
+      onLeft = endPoint.isOpen() ? onLeft : null;
+    }
+    if (waiting != null) {
+      waiting.failed(new IOException("connection failed"));
+    }
+    if (left != null) {
+      left.run();
+    }
+  }
+
+  @Override
+  public int fill(ByteBuffer buffer) throws IOException {
+    synchronized (this) {
+      if (BufferUtil.hasContent(ahead)) {
+        return BufferUtil.append(buffer, ahead);
+      }
+      if (ended) {
+        return -1;
+      }
+    }
+    return endPoint.fill(buffer);
+  }
+
+  @Override
+  public void fillInterested(Callback callback) {
+    if (!tryFillInterested(callback)) {
+      throw new ReadPendingException();
+    }
+  }
+
+  @Override
+  public boolean tryFillInterested(Callback callback) {
+    synchronized (this) {
+      if (reader != null) {
+        return false;
+      }
+      if (!BufferUtil.hasContent(ahead) && !ended) {
+        reader = callback;
+        if (reading) {
+          return true;
+        }
+        reading = true;
+        callback = Callback.NOOP;
+      }
+    }
+    if (callback == Callback.NOOP) {
+      interest();
+    } else {
+      callback.succeeded();
+    }
+    return true;
+  }
+
+  @Override
+  public synchronized boolean isFillInterested() {
+    return reader != null;
+  }
+
+  @Override
+  public EndPoint unwrap() {
+    return endPoint;
+  }
+
+  @Override
+  public boolean flush(ByteBuffer... buffers) throws IOException {
+    return endPoint.flush(buffers);
+  }
+
+  @Override
+  public void write(Callback callback, ByteBuffer... buffers) throws WritePendingException {
+    endPoint.write(callback, buffers);
+  }
+
+  @Override
+  public void write(boolean last, ByteBuffer buffer, Callback callback) {
+    endPoint.write(last, buffer, callback);
+  }
+
+  @Override
+  public Callback cancelWrite(Throwable cause) {
+    return endPoint.cancelWrite(cause);
+  }
+
+  @Override
+  public SocketAddress getLocalSocketAddress() {
+    return endPoint.getLocalSocketAddress();
+  }
+
+  @Override
+  public SocketAddress getRemoteSocketAddress() {
+    return endPoint.getRemoteSocketAddress();
+  }
+
+  @Override
+  public boolean isOpen() {
+    return endPoint.isOpen();
+  }
+
+  @Override
+  public long getCreatedTimeStamp() {
+    return endPoint.getCreatedTimeStamp();
+  }
+
+  @Override
+  public void shutdownOutput() {
+    endPoint.shutdownOutput();
+  }
+
+  @Override
+  public boolean isOutputShutdown() {
+    return endPoint.isOutputShutdown();
+  }
+
+  @Override
+  public boolean isInputShutdown() {
+    return endPoint.isInputShutdown();
+  }
+
+  @Override
+  public void close(@Nullable Throwable cause) {
+    endPoint.close(cause);
+  }
+
+  @Override
+  public Object getTransport() {
+    return endPoint.getTransport();
+  }
+
+  @Override
+  public long getIdleTimeout() {
+    return endPoint.getIdleTimeout();
+  }
+
+  @Override
+  public void setIdleTimeout(long idleTimeout) {
+    endPoint.setIdleTimeout(idleTimeout);
+  }
+
+  @Override
+  public Connection getConnection() {
+    return endPoint.getConnection();
+  }
+
+  @Override
+  public void setConnection(Connection connection) {
+    endPoint.setConnection(connection);
+  }
+
+  @Override
+  public void onOpen() {
+    endPoint.onOpen();
+  }
+
+  @Override
+  public void onClose(@Nullable Throwable cause) {
+    endPoint.onClose(cause);
+  }
+
+  @Override
+  public void upgrade(Connection newConnection) {
+    endPoint.upgrade(newConnection);
+  }
+}
--- a/org.cowslipyoke.http/src/main/java/org/cowslipyoke/http/HttpConnector.java
+++ b/org.cowslipyoke.http/src/main/java/org/cowslipyoke/http/HttpConnector.java
@@ -4,7 +4,9 @@
 import java.io.InputStream;
 import java.net.URI;
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
+import java.util.concurrent.Executor;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 import java.util.concurrent.atomic.AtomicBoolean;
@@ -63,14 +65,14 @@
    * @param headers names and values, alternating
    * @param contentType media type of the body, empty if there is no body
    */
-  record Call(
+  public record Call(
       String method, URI uri, List<String> headers, String contentType, byte[] body, long ms) {}
 
   /** A whole answer. */
-  record Answer(int status, List<String> headers, byte[] body) {
+  public record Answer(int status, List<String> headers, byte[] body) {
 
     /** Returns the first value of a header, empty if it is absent. */
-    String header(String name) {
+    public String header(String name) {
       for (int i = 0; i + 1 < headers.size(); i += 2) {
         if (headers.get(i).equalsIgnoreCase(name)) {
           return headers.get(i + 1);
@@ -81,7 +83,7 @@
   }
 
   /** What is known of an exchange that brought no answer. */
-  enum Loss {
+  public enum Loss {
     /** No byte of the request was sent. */
     NOT_SENT,
     /** The request may have arrived; no complete answer did. */
@@ -91,7 +93,7 @@
   }
 
   /** An exchange without an answer. */
-  record Broken(Loss loss, String message) {}
+  public record Broken(Loss loss, String message) {}
 
   /**
    * An answer that is read as a stream.
@@ -115,16 +117,32 @@
    * @throws IllegalStateException if the client does not start
    */
   public static HttpConnector start(String name, Limits limits) {
-    HttpClient c = new HttpClient();
     QueuedThreadPool threads = new QueuedThreadPool(16, 2);
     threads.setName("http-client");
     threads.setDaemon(true);
+    return new HttpConnector(startClient(name, limits, threads, 30_000), limits);
+  }
+
+  /** Starts a connector whose threads belong to the caller. */
+  public static HttpConnector start(String name, Limits limits, Executor threads) {
+    return new HttpConnector(startClient(name, limits, threads, 30_000), limits);
+  }
+
+  /**
+   * Starts a client that passes requests and answers on as they are: no redirects, cookies,
+   * decoding or retries.
+   *
+   * @param idleMs time after which an idle connection is closed
+   * @throws IllegalStateException if the client does not start
+   */
+  public static HttpClient startClient(String name, Limits limits, Executor threads, long idleMs) {
+    HttpClient c = new HttpClient();
     c.setExecutor(threads);
     c.setMaxConnectionsPerDestination(limits.maxConnections());
     c.setMaxRequestsQueuedPerDestination(limits.maxQueued());
     c.setConnectTimeout(limits.connectTimeoutMs());
     c.setAddressResolutionTimeout(limits.connectTimeoutMs());
-    c.setIdleTimeout(30_000);
+    c.setIdleTimeout(idleMs);
     c.setFollowRedirects(false);
     c.setHttpCookieStore(new HttpCookieStore.Empty());
     c.setUserAgentField(new HttpField(HttpHeader.USER_AGENT, name));
@@ -135,31 +153,53 @@
     }
     c.getProtocolHandlers().clear();
     c.getContentDecoderFactories().clear();
-    return new HttpConnector(c, limits);
+    return c;
   }
 
   /** Sends a request and waits for its whole answer, at most until the deadline of the call. */
-  Either<Broken, Answer> send(Call call) {
+  public Either<Broken, Answer> send(Call call) {
+    CompletableFuture<Either<Broken, Answer>> answer = sendAsync(call);
+    try {
+      return answer.get(call.ms() + ABORT_GRACE_MS, TimeUnit.MILLISECONDS);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+      answer.cancel(false);
+      return Either.left(new Broken(Loss.ANSWER_LOST, "interrupted"));
+    } catch (ExecutionException | TimeoutException e) {
+      answer.cancel(false);
+      return Either.left(new Broken(Loss.ANSWER_LOST, "no answer within " + call.ms() + " ms"));
+    }
+  }
+
+  /**
+   * Sends a request. The result comes at the latest at the deadline of the call; cancelling it
+   * aborts the exchange.
+   */
+  public CompletableFuture<Either<Broken, Answer>> sendAsync(Call call) {
     AtomicBoolean begun = new AtomicBoolean();
     AnswerCollector collector = new AnswerCollector(limits.maxAnswerBytes());
     Request r;
     try {
       r = request(call, begun).timeout(call.ms(), TimeUnit.MILLISECONDS);
     } catch (IllegalArgumentException e) {
-      return Either.left(new Broken(Loss.NOT_SENT, "malformed address or header"));
+      return CompletableFuture.completedFuture(
+          Either.left(new Broken(Loss.NOT_SENT, "malformed address or header")));
     }
     r.send(collector);
-    Result result;
-    try {
-      result = collector.done().get(call.ms() + ABORT_GRACE_MS, TimeUnit.MILLISECONDS);
-    } catch (InterruptedException e) {
-      Thread.currentThread().interrupt();
-      abort(r, e);
-      return Either.left(new Broken(Loss.ANSWER_LOST, "interrupted"));
-    } catch (ExecutionException | TimeoutException e) {
-      abort(r, e);
-      return Either.left(new Broken(Loss.ANSWER_LOST, "no answer within " + call.ms() + " ms"));
-    }
+    CompletableFuture<Either<Broken, Answer>> answer =
+        collector.done().thenApply(result -> answer(result, collector, begun));
+    var unused =
+        answer.whenComplete(
+            (a, e) -> {
+              if (e != null) {
+                abort(r, e);
+              }
+            });
+    return answer;
+  }
+
+  private Either<Broken, Answer> answer(
+      Result result, AnswerCollector collector, AtomicBoolean begun) {
     if (collector.isTooLarge()) {
       return Either.left(
           new Broken(
--- a/org.cowslipyoke.http/src/main/java/org/cowslipyoke/http/HttpModelEngine.java
+++ b/org.cowslipyoke.http/src/main/java/org/cowslipyoke/http/HttpModelEngine.java
@@ -12,9 +12,9 @@
 import org.cowslipyoke.blocks.BlockKey;
 import org.cowslipyoke.errors.ErrorKind;
 import org.cowslipyoke.errors.Failure;
-import org.cowslipyoke.http.internal.Json;
-import org.cowslipyoke.http.internal.MalformedAnswerException;
 import org.cowslipyoke.platform.ModelEngine;
+import org.cowslipyoke.util.Json;
+import org.cowslipyoke.util.MalformedAnswerException;
 
 /**
  * Client of one model engine.
--- a/org.cowslipyoke.http/src/main/java/org/cowslipyoke/http/HttpObjectStore.java
+++ b/org.cowslipyoke.http/src/main/java/org/cowslipyoke/http/HttpObjectStore.java
@@ -5,8 +5,8 @@
 import java.util.Optional;
 import org.cowslipyoke.errors.ErrorKind;
 import org.cowslipyoke.errors.Failure;
-import org.cowslipyoke.http.internal.Json;
 import org.cowslipyoke.platform.ObjectStore;
+import org.cowslipyoke.util.Json;
 
 /** Client of the platform's object store. */
 public final class HttpObjectStore implements ObjectStore {
--- a/org.cowslipyoke.http/src/main/java/org/cowslipyoke/http/HttpStoreVm.java
+++ b/org.cowslipyoke.http/src/main/java/org/cowslipyoke/http/HttpStoreVm.java
@@ -13,9 +13,9 @@
 import org.cowslipyoke.blocks.BlockSeal;
 import org.cowslipyoke.errors.ErrorKind;
 import org.cowslipyoke.errors.Failure;
-import org.cowslipyoke.http.internal.Json;
-import org.cowslipyoke.http.internal.MalformedAnswerException;
 import org.cowslipyoke.platform.StoreVm;
+import org.cowslipyoke.util.Json;
+import org.cowslipyoke.util.MalformedAnswerException;
 
 /** Client of one store VM. */
 public final class HttpStoreVm implements StoreVm {
--- a/org.cowslipyoke.http/src/main/java/org/cowslipyoke/http/HttpTransactionalTable.java
+++ b/org.cowslipyoke.http/src/main/java/org/cowslipyoke/http/HttpTransactionalTable.java
@@ -11,9 +11,9 @@
 import java.util.Optional;
 import org.cowslipyoke.errors.ErrorKind;
 import org.cowslipyoke.errors.Failure;
-import org.cowslipyoke.http.internal.Json;
-import org.cowslipyoke.http.internal.MalformedAnswerException;
 import org.cowslipyoke.platform.TransactionalTable;
+import org.cowslipyoke.util.Json;
+import org.cowslipyoke.util.MalformedAnswerException;
 
 /** Client of the platform's transactional table. */
 public final class HttpTransactionalTable implements TransactionalTable {
--- a/org.cowslipyoke.http/src/main/java/org/cowslipyoke/http/HttpVmList.java
+++ b/org.cowslipyoke.http/src/main/java/org/cowslipyoke/http/HttpVmList.java
@@ -9,9 +9,9 @@
 import java.util.Optional;
 import org.cowslipyoke.errors.ErrorKind;
 import org.cowslipyoke.errors.Failure;
-import org.cowslipyoke.http.internal.Json;
-import org.cowslipyoke.http.internal.MalformedAnswerException;
 import org.cowslipyoke.platform.VmList;
+import org.cowslipyoke.util.Json;
+import org.cowslipyoke.util.MalformedAnswerException;
 
 /** Client of the platform's list of VMs. */
 public final class HttpVmList implements VmList {
--- a/org.cowslipyoke.http/src/main/java/org/cowslipyoke/http/HttpWeightStore.java
+++ b/org.cowslipyoke.http/src/main/java/org/cowslipyoke/http/HttpWeightStore.java
@@ -7,8 +7,8 @@
 import java.util.List;
 import org.cowslipyoke.errors.ErrorKind;
 import org.cowslipyoke.errors.Failure;
-import org.cowslipyoke.http.internal.Json;
 import org.cowslipyoke.platform.WeightStore;
+import org.cowslipyoke.util.Json;
 
 /** Client of the weight store. */
 public final class HttpWeightStore implements WeightStore {
--- a/org.cowslipyoke.http/src/main/java/org/cowslipyoke/http/JsonCaller.java
+++ b/org.cowslipyoke.http/src/main/java/org/cowslipyoke/http/JsonCaller.java
@@ -9,8 +9,8 @@
 import java.util.Locale;
 import org.cowslipyoke.errors.ErrorKind;
 import org.cowslipyoke.errors.Failure;
-import org.cowslipyoke.http.internal.Json;
-import org.cowslipyoke.http.internal.MalformedAnswerException;
+import org.cowslipyoke.util.Json;
+import org.cowslipyoke.util.MalformedAnswerException;
 
 /** Calls with JSON or raw bodies against one base address. */
 final class JsonCaller {
--- a/org.cowslipyoke.http/src/main/java/org/cowslipyoke/http/TokenStream.java
+++ b/org.cowslipyoke.http/src/main/java/org/cowslipyoke/http/TokenStream.java
@@ -7,11 +7,11 @@
 import java.util.Optional;
 import org.cowslipyoke.errors.ErrorKind;
 import org.cowslipyoke.errors.Failure;
-import org.cowslipyoke.http.internal.Json;
 import org.cowslipyoke.http.internal.LineReader;
-import org.cowslipyoke.http.internal.MalformedAnswerException;
 import org.cowslipyoke.platform.ModelEngine.StreamEnd;
 import org.cowslipyoke.platform.ModelEngine.TokenSink;
+import org.cowslipyoke.util.Json;
+import org.cowslipyoke.util.MalformedAnswerException;
 
 /** Reads the newline-delimited JSON of a generation. */
 final class TokenStream {
--- a/org.cowslipyoke.http/src/main/java/org/cowslipyoke/http/internal/LineReader.java
+++ b/org.cowslipyoke.http/src/main/java/org/cowslipyoke/http/internal/LineReader.java
@@ -3,6 +3,7 @@
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.InputStream;
+import org.cowslipyoke.util.MalformedAnswerException;
 import org.jspecify.annotations.Nullable;
 
 /** Reads lines of bounded length from a stream. */
--- a/org.cowslipyoke/src/main/java/org/cowslipyoke/lease/OrderLease.java
+++ b/org.cowslipyoke/src/main/java/org/cowslipyoke/lease/OrderLease.java
@@ -39,6 +39,15 @@
    */
   public static final long MAX_CLOCK_SKEW_MS = 60_000;
 
+  /**
+   * Times of a lease in milliseconds.
+   *
+   * @param termMs see {@link #TERM_MS}
+   * @param marginMs see {@link #MARGIN_MS}
+   * @param maxClockSkewMs see {@link #MAX_CLOCK_SKEW_MS}
+   */
+  public record Terms(long termMs, long marginMs, long maxClockSkewMs) {}
+
   /**
    * An acquired lease.
    *
@@ -62,6 +71,7 @@
   private final PauseDetector pauses;
   private final String key;
   private final Supplier<String> tokens;
+  private final Terms terms;
   private @Nullable Held held;
 
   /**
@@ -76,6 +86,18 @@
       PauseDetector pauses,
       String vm,
       Supplier<String> tokens) {
+    this(table, clock, pauses, vm, tokens, new Terms(TERM_MS, MARGIN_MS, MAX_CLOCK_SKEW_MS));
+  }
+
+  /** Creates a lease with its own times. */
+  public OrderLease(
+      TransactionalTable table,
+      Clock clock,
+      PauseDetector pauses,
+      String vm,
+      Supplier<String> tokens,
+      Terms terms) {
+    this.terms = terms;
     this.table = table;
     this.clock = clock;
     this.pauses = pauses;
@@ -95,12 +117,30 @@
     if (!pauses.isCurrent()) {
       return Either.left(Failure.of(ErrorKind.NOT_READY, "process was paused"));
     }
-    if (held != null && remainingMs(held) > TERM_MS / 2) {
+    if (held != null && remainingMs(held) > terms.termMs() / 2) {
       return Either.right(held.number());
     }
     return table.read(key).flatMap(this::acquireAfter);
   }
 
+  /**
+   * Reads whether another process holds the lease, by its wall clock. An end further away than a
+   * term can't be true and is ignored.
+   */
+  public synchronized Either<Failure, Boolean> isHeldElsewhere() {
+    if (held != null && remainingMs(held) > 0) {
+      return Either.right(false);
+    }
+    return table
+        .read(key)
+        .map(
+            row -> {
+              JsonNode n = RowJson.read(row.map(Row::value).orElse("{}"));
+              long left = n.path("endsWallMs").asLong() - clock.wallMs();
+              return left > 0 && left <= terms.termMs() + terms.maxClockSkewMs();
+            });
+  }
+
   /**
    * Decides whether an order may be sent now; called immediately before it is sent.
    *
@@ -149,15 +189,16 @@
     final String token = tokens.get();
     final long pausesBefore = pauses.pauses();
     // The term counts from before the transaction, so it ends here before it ends for others.
-    final long endsMs = clock.nowMs() + TERM_MS;
-    final long endsWallMs = clock.wallMs() + TERM_MS;
+    final long endsMs = clock.nowMs() + terms.termMs();
+    final long endsWallMs = clock.wallMs() + terms.termMs();
     Write write = Write.put(key, version, value(token, number, endsWallMs));
     Either<Failure, Boolean> applied = applied(table.commit(List.of(write)), token);
     if (applied.isLeft()) {
       return Either.left(applied.getLeft());
     }
     if (!applied.get()) {
-      return Either.left(new Failure(ErrorKind.CONFLICT, "another process was first", TERM_MS));
+      return Either.left(
+          new Failure(ErrorKind.CONFLICT, "another process was first", terms.termMs()));
     }
     long earlierEndsMs = earlierEndsMs(earlier, row.isPresent());
     held = new Held(number, version + 1, endsMs, endsWallMs, earlierEndsMs, token, pausesBefore);
@@ -195,10 +236,10 @@
       return h.earlierEndsMs();
     }
     long endedAgoMs = clock.wallMs() - earlier.path("endsWallMs").asLong(Long.MAX_VALUE / 2);
-    if (!exists || endedAgoMs > MAX_CLOCK_SKEW_MS) {
+    if (!exists || endedAgoMs > terms.maxClockSkewMs()) {
       return clock.nowMs();
     }
-    return clock.nowMs() + TERM_MS + MARGIN_MS;
+    return clock.nowMs() + terms.termMs() + terms.marginMs();
   }
 
   private long remainingMs(Held h) {
--- /dev/null
+++ b/org.cowslipyoke/src/main/java/org/cowslipyoke/relay/CacheStore.java
@@ -0,0 +1,18 @@
+package org.cowslipyoke.relay;
+
+/**
+ * A store of KV cache.
+ *
+ * @param address host and port
+ * @param cacheTokens tokens that fit it
+ * @param firstMs delay of each transfer in addition to its length
+ * @param managed whether the store drops nothing by itself
+ */
+public record CacheStore(
+    String name,
+    String address,
+    String failureDomain,
+    long cacheTokens,
+    double linkMbps,
+    double firstMs,
+    boolean managed) {}
--- /dev/null
+++ b/org.cowslipyoke/src/main/java/org/cowslipyoke/relay/KeptParts.java
@@ -0,0 +1,155 @@
+package org.cowslipyoke.relay;
+
+import com.github.benmanes.caffeine.cache.Cache;
+import com.github.benmanes.caffeine.cache.Caffeine;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.Optional;
+import org.cowslipyoke.relay.Prompt.Part;
+
+/**
+ * Decides where the parts of a prompt are fetched from and which store keeps them. Answers for
+ * prompts that return after they have left the engines' memory: each shared part has one store by
+ * weighted rendezvous hash, so a part takes room once.
+ */
+public final class KeptParts {
+
+  /** Block in which engines keep tokens; a part may be held short of less than one block. */
+  static final int BLOCK_TOKENS = 16;
+
+  /**
+   * Parts shorter than this are read again rather than fetched: the delay of a transfer is longer
+   * than reading them.
+   */
+  static final int MIN_FETCH_TOKENS = 256;
+
+  /** Time for which a part that is being saved is not saved again. */
+  private static final Duration SAVING = Duration.ofSeconds(3);
+
+  /** Saves remembered; above what all callers of an entry start in {@link #SAVING}. */
+  private static final int MAX_SAVING = 4_096;
+
+  private final CacheDirectory directory;
+  private final Cache<CacheContents.Key, Boolean> saving =
+      Caffeine.newBuilder()
+          .maximumSize(MAX_SAVING)
+          .expireAfterWrite(SAVING)
+          .executor(Runnable::run)
+          .build();
+
+  /** Creates the decision. */
+  public KeptParts(CacheDirectory directory) {
+    this.directory = directory;
+  }
+
+  /**
+   * What a server lacks of a prompt.
+   *
+   * @param heldTokens tokens of the leading parts that the server holds
+   * @param heldParts number of leading parts that the server holds whole
+   */
+  record Held(int heldTokens, int heldParts) {}
+
+  /** Returns the leading parts that a server holds. */
+  Held heldAt(BackendServer server, String salt, Prompt p) {
+    int tokens = 0;
+    int whole = 0;
+    for (Part part : p.parts()) {
+      int held = directory.tokens(server.address(), new CacheContents.Key(salt, part.id()));
+      tokens += Math.min(held, part.tokens());
+      if (held <= part.tokens() - BLOCK_TOKENS) {
+        break;
+      }
+      whole++;
+    }
+    return new Held(tokens, whole);
+  }
+
+  /**
+   * Returns for each part where it can be fetched from, empty for none. Only shared parts that
+   * follow those held are fetched, and none after a part that has to be read.
+   */
+  List<String> sources(
+      BackendServer server,
+      List<BackendServer> engines,
+      List<CacheStore> stores,
+      String salt,
+      Prompt p,
+      int heldParts) {
+    List<String> sources = new ArrayList<>(Collections.nCopies(p.parts().size(), ""));
+    for (int i = heldParts; i < p.parts().size() - 1; i++) {
+      Part part = p.parts().get(i);
+      CacheContents.Key key = new CacheContents.Key(salt, part.id());
+      Optional<String> source =
+          part.tokens() < MIN_FETCH_TOKENS
+              ? Optional.empty()
+              : source(server, engines, stores, key, part.tokens());
+      if (source.isEmpty()) {
+        return sources;
+      }
+      sources.set(i, source.get());
+    }
+    return sources;
+  }
+
+  /** Returns for each part the store to save it to, empty for none. */
+  List<String> targets(List<CacheStore> stores, String salt, Prompt p) {
+    List<String> targets = new ArrayList<>(Collections.nCopies(p.parts().size(), ""));
+    for (int i = 0; i < p.parts().size() - 1; i++) {
+      Part part = p.parts().get(i);
+      CacheContents.Key key = new CacheContents.Key(salt, part.id());
+      Optional<CacheStore> home = home(stores, part.id());
+      if (part.tokens() >= MIN_FETCH_TOKENS
+          && home.isPresent()
+          && directory.tokens(home.get().address(), key) == 0
+          && directory.maySave(home.get(), part.tokens())
+          && saving.asMap().putIfAbsent(key, Boolean.TRUE) == null) {
+        targets.set(i, home.get().address());
+      }
+    }
+    return targets;
+  }
+
+  private Optional<String> source(
+      BackendServer server,
+      List<BackendServer> engines,
+      List<CacheStore> stores,
+      CacheContents.Key key,
+      int tokens) {
+    for (BackendServer e : engines) {
+      boolean other = !e.incarnation().equals(server.incarnation());
+      if (other && directory.tokens(e.address(), key) >= tokens - BLOCK_TOKENS + 1) {
+        return Optional.of(e.address());
+      }
+    }
+    return stores.stream()
+        .map(CacheStore::address)
+        .filter(a -> directory.tokens(a, key) >= tokens)
+        .findFirst();
+  }
+
+  /** Weighted rendezvous hash: a store's share of the parts follows its capacity. */
+  private static Optional<CacheStore> home(List<CacheStore> stores, String part) {
+    CacheStore best = null;
+    double bestScore = 0;
+    for (CacheStore s : stores) {
+      long h = mix((part + '/' + s.name()).hashCode() * 0x9e3779b97f4a7c15L);
+      double unit = ((h >>> 11) + 1) * 0x1.0p-53;
+      double score = s.cacheTokens() / -Math.log(unit);
+      if (best == null || score > bestScore) {
+        best = s;
+        bestScore = score;
+      }
+    }
+    return Optional.ofNullable(best);
+  }
+
+  /** Finalizer of SplitMix64. */
+  private static long mix(long h) {
+    long z = (h ^ (h >>> 30)) * 0xbf58476d1ce4e5b9L;
+    z = (z ^ (z >>> 27)) * 0x94d049bb133111ebL;
+    return z ^ (z >>> 31);
+  }
+}
--- /dev/null
+++ b/org.cowslipyoke/src/main/java/org/cowslipyoke/relay/RouteTable.java
@@ -0,0 +1,45 @@
+package org.cowslipyoke.relay;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Optional;
+
+/** Routes by host and longest path prefix. Immutable. */
+public final class RouteTable {
+
+  private final Map<String, List<Route>> byHost;
+
+  /** Creates a table. */
+  public RouteTable(List<Route> routes) {
+    Map<String, List<Route>> map = new HashMap<>();
+    for (Route r : routes) {
+      map.computeIfAbsent(r.host().toLowerCase(Locale.ROOT), h -> new ArrayList<>()).add(r);
+    }
+    Comparator<Route> longestFirst = Comparator.comparingInt(r -> -r.prefix().length());
+    map.values().forEach(l -> l.sort(longestFirst));
+    this.byHost = map;
+  }
+
+  /**
+   * Finds the route of a request.
+   *
+   * @param host value of the Host header; a port in it is ignored
+   * @param path path without the query, as received
+   */
+  public Optional<Route> find(String host, String path) {
+    int colon = host.indexOf(':');
+    String name = (colon < 0 ? host : host.substring(0, colon)).toLowerCase(Locale.ROOT);
+    return byHost.getOrDefault(name, List.of()).stream()
+        .filter(r -> path.startsWith(r.prefix()))
+        .findFirst();
+  }
+
+  /** Returns the number of routes. */
+  public int size() {
+    return byHost.values().stream().mapToInt(List::size).sum();
+  }
+}
--- /dev/null
+++ b/org.cowslipyoke/src/main/java/org/cowslipyoke/relay/ServerLoad.java
@@ -0,0 +1,108 @@
+package org.cowslipyoke.relay;
+
+import org.cowslipyoke.util.Clock;
+
+/**
+ * Work that this process has at one incarnation of a server, and the trouble it had with it lately.
+ */
+public final class ServerLoad {
+
+  /** Time in which the memory of a trouble halves, in milliseconds. */
+  static final double TROUBLE_HALF_LIFE_MS = 2_000;
+
+  /** Time for which a server that refused for lack of room is passed over, in milliseconds. */
+  static final long FULL_MS = 250;
+
+  private final Clock clock;
+  private int inFlight;
+  private long unreadTokens;
+  private long residentTokens;
+  private double trouble;
+  private long troubleMs;
+  private long fullUntilMs;
+  private double answerMs;
+
+  ServerLoad(Clock clock) {
+    this.clock = clock;
+    this.troubleMs = clock.nowMs();
+    this.fullUntilMs = clock.nowMs();
+  }
+
+  /**
+   * Records that a request is handed to the server.
+   *
+   * @param unread prompt tokens that the server has to read
+   * @param resident tokens that the request keeps in the server's memory
+   */
+  public synchronized void begin(long unread, long resident) {
+    inFlight++;
+    unreadTokens += unread;
+    residentTokens += resident;
+  }
+
+  /** Records that the server began to answer, after it read the prompt. */
+  public synchronized void promptRead(long unread) {
+    unreadTokens = Math.max(0, unreadTokens - unread);
+  }
+
+  /** Records the end of a request. */
+  public synchronized void end(long resident) {
+    inFlight = Math.max(0, inFlight - 1);
+    residentTokens = Math.max(0, residentTokens - resident);
+  }
+
+  /** Records the time of an answer. */
+  public synchronized void answered(long ms) {
+    answerMs = answerMs == 0 ? ms : answerMs * 0.8 + ms * 0.2;
+  }
+
+  /** Records a broken or failed answer. */
+  public synchronized void trouble(double weight) {
+    trouble = decayed() + weight;
+    troubleMs = clock.nowMs();
+  }
+
+  /** Records that the server refused for lack of room. */
+  public void full() {
+    unavailable(FULL_MS);
+  }
+
+  /** Records that the server takes no work for a time. */
+  public synchronized void unavailable(long ms) {
+    fullUntilMs = Math.max(fullUntilMs, clock.nowMs() + ms);
+  }
+
+  /** Returns whether the server refused for lack of room a moment ago. */
+  public synchronized boolean isFull() {
+    return clock.nowMs() < fullUntilMs;
+  }
+
+  /** Returns the requests in flight. */
+  public synchronized int inFlight() {
+    return inFlight;
+  }
+
+  /** Returns the prompt tokens that the server still has to read for this process. */
+  public synchronized long unreadTokens() {
+    return unreadTokens;
+  }
+
+  /** Returns the tokens that the requests of this process keep in the server's memory. */
+  public synchronized long residentTokens() {
+    return residentTokens;
+  }
+
+  /** Returns the recent troubles; each one counts 1 at first and half after each half-life. */
+  public synchronized double recentTrouble() {
+    return decayed();
+  }
+
+  /** Returns the smoothed time of an answer in milliseconds, 0 if there was none. */
+  public synchronized double answerMs() {
+    return answerMs;
+  }
+
+  private double decayed() {
+    return trouble * Math.pow(0.5, (clock.nowMs() - troubleMs) / TROUBLE_HALF_LIFE_MS);
+  }
+}
--- a/org.cowslipyoke.http/src/main/java/org/cowslipyoke/http/internal/Json.java
+++ b/org.cowslipyoke/src/main/java/org/cowslipyoke/util/Json.java
@@ -1,4 +1,4 @@
-package org.cowslipyoke.http.internal;
+package org.cowslipyoke.util;
 
 import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonProcessingException;
--- a/org.cowslipyoke.http/src/main/java/org/cowslipyoke/http/internal/MalformedAnswerException.java
+++ b/org.cowslipyoke/src/main/java/org/cowslipyoke/util/MalformedAnswerException.java
@@ -1,4 +1,4 @@
-package org.cowslipyoke.http.internal;
+package org.cowslipyoke.util;
 
 /** An answer that does not have the documented format. */
 public final class MalformedAnswerException extends Exception {
