Fetch kept parts from the first one on and spread others' work evenly

Cause: an engine fetches the parts of a prompt in order and stops at one without a source; parts that it held were left out of the list, so 19 of 265 planned fetches were made. Work of other entries was taken to be where the own work is, which drove prompts away from the servers that hold their parts.

--- a/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/CallerSide.java
+++ b/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/CallerSide.java
@@ -1,5 +1,6 @@
 package org.cowslipyoke.daemon.relay;
 
+import java.io.ByteArrayOutputStream;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.atomic.AtomicBoolean;
@@ -16,12 +17,19 @@
 /** The caller's end of one request: writes its answer and tells when the caller left. */
 final class CallerSide {
 
+  /** Bytes of a stream that wait for a caller to read; several times a whole answer of today. */
+  private static final int MAX_PENDING_BYTES = 1 << 20;
+
   private final Request request;
   private final Response response;
   private final Callback callback;
   private final RelayDialect dialect;
   private final boolean closing;
   private final AtomicBoolean done = new AtomicBoolean();
+  private final ByteArrayOutputStream pending = new ByteArrayOutputStream();
+  private volatile Runnable left = () -> {};
+  private boolean writing;
+  private boolean ending;
 
   /**
    * Creates the end of one request.
@@ -47,6 +55,7 @@
 
   /** Calls back when the caller closes its connection before the answer ends. */
   void watch(Runnable left) {
+    this.left = left;
     if (request.getConnectionMetaData().getConnection().getEndPoint()
         instanceof WatchedEndPoint w) {
       w.watch(left);
@@ -78,20 +87,67 @@
     }
   }
 
-  /** Writes a part of a streamed answer. */
-  void part(byte[] bytes, Callback written) {
-    if (done.get()) {
-      written.failed(new IllegalStateException("answer has ended"));
-      return;
+  /**
+   * Writes a part of a streamed answer. Parts that come while one is being written are collected,
+   * up to {@link #MAX_PENDING_BYTES}, and written together.
+   *
+   * @return false if the caller reads so slowly that the bound is exceeded
+   */
+  boolean part(byte[] bytes) {
+    synchronized (pending) {
+      if (done.get() || ending) {
+        return true;
+      }
+      if (pending.size() + bytes.length > MAX_PENDING_BYTES) {
+        return false;
+      }
+      pending.writeBytes(bytes);
     }
-    response.write(false, ByteBuffer.wrap(bytes), written);
+    writeNext();
+    return true;
   }
 
-  /** Ends a streamed answer. */
+  /** Ends a streamed answer after its last bytes. */
   void end(byte[] rest) {
-    if (done.compareAndSet(false, true)) {
-      response.write(true, ByteBuffer.wrap(rest), callback);
+    synchronized (pending) {
+      pending.writeBytes(rest);
+      ending = true;
     }
+    writeNext();
+  }
+
+  private void writeNext() {
+    byte[] next;
+    boolean last;
+    synchronized (pending) {
+      if (writing || done.get() || (pending.size() == 0 && !ending)) {
+        return;
+      }
+      next = pending.toByteArray();
+      pending.reset();
+      last = ending;
+      writing = !last;
+      if (last && !done.compareAndSet(false, true)) {
+        return;
+      }
+    }
+    if (last) {
+      response.write(true, ByteBuffer.wrap(next), callback);
+    } else {
+      response.write(false, ByteBuffer.wrap(next), Callback.from(this::written, this::notWritten));
+    }
+  }
+
+  private void written() {
+    synchronized (pending) {
+      writing = false;
+    }
+    writeNext();
+  }
+
+  private void notWritten(Throwable cause) {
+    left.run();
+    cut(cause);
   }
 
   /** Ends the connection in the middle of an answer, so that it doesn't look whole. */
--- a/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/RelayAttempt.java
+++ b/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/RelayAttempt.java
@@ -13,8 +13,6 @@
 import org.eclipse.jetty.client.Response;
 import org.eclipse.jetty.client.Result;
 import org.eclipse.jetty.http.HttpFields;
-import org.eclipse.jetty.io.Content;
-import org.eclipse.jetty.util.Callback;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -40,6 +38,8 @@
   private volatile @Nullable Request jetty;
   private volatile @Nullable AnswerHead head;
   private HttpFields headers = HttpFields.EMPTY;
+  private volatile long receivedBytes;
+  private volatile long lastBytesMs;
   private boolean streaming;
   private boolean promptRead;
   private boolean ended;
@@ -61,6 +61,12 @@
     return sent;
   }
 
+  /** Returns how far the answer has come, for the log. */
+  String progress() {
+    long agoMs = exchange.services().clock().nowMs() - lastBytesMs;
+    return receivedBytes == 0 ? "none" : receivedBytes + " bytes, the last " + agoMs + " ms ago";
+  }
+
   /** Sends the request. */
   void send() {
     load.begin(plan == null ? 0 : plan.unreadTokens(), plan == null ? 0 : plan.residentTokens());
@@ -85,7 +91,6 @@
       r.body(new BytesRequestContent(out.get("Content-Type"), exchange.body()));
     }
     jetty = r;
-    r.onResponseContentAsync(this::onChunk);
     r.send(this);
     if (exchange.isOver()) {
       abort();
@@ -109,23 +114,22 @@
     streaming = exchange.isStream() && h.sealed() && own && response.getStatus() / 100 == 2;
   }
 
-  private void onChunk(Response response, Content.Chunk chunk, Runnable demand) {
+  @Override
+  public void onContent(Response response, ByteBuffer bytes) {
     if (!promptRead) {
       promptRead = true;
       noteFirstAnswer();
     }
-    ByteBuffer bytes = chunk.getByteBuffer();
     if (!streaming) {
       collect(response, bytes);
-      demand.run();
       return;
     }
+    receivedBytes = receivedBytes + bytes.remaining();
+    lastBytesMs = exchange.services().clock().nowMs();
     byte[] complete = events.add(bytes);
-    if (complete.length == 0) {
-      demand.run();
-      return;
+    if (complete.length > 0) {
+      relay(complete);
     }
-    relay(complete, demand);
   }
 
   private void collect(Response response, ByteBuffer bytes) {
@@ -138,7 +142,7 @@
     whole.writeBytes(b);
   }
 
-  private void relay(byte[] complete, Runnable demand) {
+  private void relay(byte[] complete) {
     if (exchange.isOver()) {
       return;
     }
@@ -153,7 +157,9 @@
     if (id != null) {
       exchange.run().eventSent(id);
     }
-    caller.part(complete, Callback.from(demand, e -> exchange.cut("the answer can't be written")));
+    if (!caller.part(complete)) {
+      exchange.cut("the caller does not read its answer");
+    }
   }
 
   private void noteFirstAnswer() {
--- a/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/RelayExchange.java
+++ b/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/RelayExchange.java
@@ -272,17 +272,23 @@
     RelayAttempt a = finish();
     if (a != null) {
       LOG.info(
-          "caller left: request={} server={} elapsedMs={}",
+          "caller left: request={} server={} received={} elapsedMs={}",
           request.id(),
           a.server().id(),
+          a.progress(),
           elapsedMs());
     }
     caller.cut(new IllegalStateException("the caller left"));
   }
 
   void cut(String reason) {
-    LOG.info("answer cut: request={} reason={} elapsedMs={}", request.id(), reason, elapsedMs());
-    finish();
+    RelayAttempt a = finish();
+    LOG.info(
+        "answer cut: request={} reason={} received={} elapsedMs={}",
+        request.id(),
+        reason,
+        a == null ? "" : a.progress(),
+        elapsedMs());
     caller.cut(new IllegalStateException(reason));
   }
 
--- a/org.cowslipyoke/src/main/java/org/cowslipyoke/relay/KeptParts.java
+++ b/org.cowslipyoke/src/main/java/org/cowslipyoke/relay/KeptParts.java
@@ -19,12 +19,6 @@
   /** Block in which engines keep tokens; a part may be held short of less than one block. */
   static final int BLOCK_TOKENS = 16;
 
-  /**
-   * Parts shorter than this are read again rather than fetched: the delay of a transfer is longer
-   * than reading them.
-   */
-  static final int MIN_FETCH_TOKENS = 256;
-
   /** Time for which a part that is being saved is not saved again. */
   private static final Duration SAVING = Duration.ofSeconds(3);
 
@@ -68,28 +62,25 @@
   }
 
   /**
-   * Returns for each part where it can be fetched from, empty for none. Only shared parts that
-   * follow those held are fetched, and none after a part that has to be read.
+   * Returns for each part where it can be fetched from, empty for none. Parts that the server holds
+   * are named too: engines fetch the parts of a prompt from the first on and stop at one without a
+   * source. None is named after a part that has to be read.
    */
   List<String> sources(
       BackendServer server,
       List<BackendServer> engines,
       List<CacheStore> stores,
       String salt,
-      Prompt p,
-      int heldParts) {
+      Prompt p) {
     List<String> sources = new ArrayList<>(Collections.nCopies(p.parts().size(), ""));
-    for (int i = heldParts; i < p.parts().size() - 1; i++) {
+    for (int i = 0; i < p.parts().size() - 1; i++) {
       Part part = p.parts().get(i);
       CacheContents.Key key = new CacheContents.Key(salt, part.id());
-      Optional<String> source =
-          part.tokens() < MIN_FETCH_TOKENS
-              ? Optional.empty()
-              : source(server, engines, stores, key, part.tokens());
-      if (source.isEmpty()) {
+      Optional<String> source = source(server, engines, stores, key, part.tokens());
+      if (source.isEmpty() && i >= heldAt(server, salt, p).heldParts()) {
         return sources;
       }
-      sources.set(i, source.get());
+      sources.set(i, source.orElse(""));
     }
     return sources;
   }
@@ -101,8 +92,7 @@
       Part part = p.parts().get(i);
       CacheContents.Key key = new CacheContents.Key(salt, part.id());
       Optional<CacheStore> home = home(stores, part.id());
-      if (part.tokens() >= MIN_FETCH_TOKENS
-          && home.isPresent()
+      if (home.isPresent()
           && directory.tokens(home.get().address(), key) == 0
           && directory.maySave(home.get(), part.tokens())
           && saving.asMap().putIfAbsent(key, Boolean.TRUE) == null) {
--- a/org.cowslipyoke/src/main/java/org/cowslipyoke/relay/PromptPlacement.java
+++ b/org.cowslipyoke/src/main/java/org/cowslipyoke/relay/PromptPlacement.java
@@ -44,12 +44,6 @@
   /** Time after which a server that gave no sign to its reader is avoided, in milliseconds. */
   static final double SILENT_MS = 2_000;
 
-  /**
-   * Part of the other entries' work that is assumed to be where the own work is. Below 1, because
-   * entries that all multiplied their own count would move together.
-   */
-  static final double OTHERS_PART = 0.5;
-
   private final Clock clock;
   private final ServerLoads loads;
   private final CacheDirectory directory;
@@ -74,6 +68,23 @@
     this.oldWeightsMaxMs = oldWeightsMaxMs;
   }
 
+  /**
+   * Work of the other entries at one server. They are taken to have as much as this one, spread
+   * over all servers: what this entry has at one server says nothing about what they have there.
+   */
+  private record Others(double unreadTokens, double residentTokens) {}
+
+  private Others others(FleetState state, List<BackendServer> candidates) {
+    double unread = 0;
+    double resident = 0;
+    for (BackendServer s : candidates) {
+      unread += loads.of(s).unreadTokens();
+      resident += loads.of(s).residentTokens();
+    }
+    double part = (state.entries() - 1.0) / Math.max(1, candidates.size());
+    return new Others(unread * part, resident * part);
+  }
+
   private record Option(BackendServer server, int weights, Held held, double costMs) {}
 
   /** Chooses a server, or none if no candidate holds weights that may be used. */
@@ -89,9 +100,10 @@
             candidates,
             BackendServer::id,
             candidates.size());
+    Others others = others(state, candidates);
     Option best = null;
     for (int rank = 0; rank < order.size(); rank++) {
-      Option o = option(p, tenancy, state, group, order.get(rank), rank);
+      Option o = option(p, tenancy, state, group, others, order.get(rank), rank);
       if (o != null && (best == null || o.costMs() < best.costMs())) {
         best = o;
       }
@@ -112,6 +124,7 @@
       @Nullable Tenancy tenancy,
       FleetState state,
       ServerGroup group,
+      Others others,
       BackendServer server,
       int rank) {
     Integer weights = server.weights(p.model());
@@ -125,11 +138,11 @@
     }
     Held held = kept.heldAt(server, salt(p.model(), weights, tenancy), p);
     ServerLoad load = loads.of(server);
-    double others = 1 + OTHERS_PART * (state.entries() - 1);
     double cost = (p.promptTokens() - held.heldTokens()) / READ_TOKENS_PER_MS;
-    cost += others * load.unreadTokens() / READ_TOKENS_PER_MS;
+    cost += (load.unreadTokens() + others.unreadTokens()) / READ_TOKENS_PER_MS;
     cost += RUNNING_MS * load.inFlight();
-    cost += memoryCost(group, others * load.residentTokens() + p.promptTokens());
+    double resident = load.residentTokens() + others.residentTokens();
+    cost += memoryCost(group, resident + p.promptTokens());
     cost += TROUBLE_MS * load.recentTrouble() + RANK_MS * rank;
     cost += old ? OLD_WEIGHTS_MS : 0;
     cost += load.isFull() ? MEMORY_FULL_MS : 0;
@@ -154,12 +167,9 @@
                 .toList();
     boolean managed = group.engine() != null && group.engine().managedCache();
     List<String> none = p.parts().stream().map(x -> "").toList();
-    List<String> sources =
-        managed
-            ? kept.sources(o.server(), candidates, stores, salt, p, o.held().heldParts())
-            : none;
+    List<String> sources = managed ? kept.sources(o.server(), candidates, stores, salt, p) : none;
     int fetched = 0;
-    for (int i = 0; i < sources.size(); i++) {
+    for (int i = o.held().heldParts(); i < sources.size(); i++) {
       fetched += sources.get(i).isEmpty() ? 0 : p.parts().get(i).tokens();
     }
     int unread = Math.max(1, p.promptTokens() - o.held().heldTokens() - fetched);
