Take the order lease over only after its term by the store's clock

Cause: two entries took the lease from each other, and each acquisition began the wait for the earlier holder anew, so no order was given for 7 s. An order of an older version held back one of a newer version.

--- a/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/RelayAttempt.java
+++ b/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/RelayAttempt.java
@@ -3,6 +3,7 @@
 import java.io.ByteArrayOutputStream;
 import java.nio.ByteBuffer;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
 import org.cowslipyoke.daemon.relay.RelayDialect.AnswerHead;
 import org.cowslipyoke.relay.AttemptEnd;
 import org.cowslipyoke.relay.BackendServer;
@@ -38,7 +39,7 @@
   private volatile @Nullable Request jetty;
   private volatile @Nullable AnswerHead head;
   private HttpFields headers = HttpFields.EMPTY;
-  private volatile long receivedBytes;
+  private final AtomicLong receivedBytes = new AtomicLong();
   private volatile long lastBytesMs;
   private boolean streaming;
   private boolean promptRead;
@@ -64,7 +65,8 @@
   /** Returns how far the answer has come, for the log. */
   String progress() {
     long agoMs = exchange.services().clock().nowMs() - lastBytesMs;
-    return receivedBytes == 0 ? "none" : receivedBytes + " bytes, the last " + agoMs + " ms ago";
+    long bytes = receivedBytes.get();
+    return bytes == 0 ? "none" : bytes + " bytes, the last " + agoMs + " ms ago";
   }
 
   /** Sends the request. */
@@ -124,7 +126,7 @@
       collect(response, bytes);
       return;
     }
-    receivedBytes = receivedBytes + bytes.remaining();
+    receivedBytes.addAndGet(bytes.remaining());
     lastBytesMs = exchange.services().clock().nowMs();
     byte[] complete = events.add(bytes);
     if (complete.length > 0) {
--- a/org.cowslipyoke/src/main/java/org/cowslipyoke/lease/OrderLease.java
+++ b/org.cowslipyoke/src/main/java/org/cowslipyoke/lease/OrderLease.java
@@ -45,8 +45,11 @@
    * @param termMs see {@link #TERM_MS}
    * @param marginMs see {@link #MARGIN_MS}
    * @param maxClockSkewMs see {@link #MAX_CLOCK_SKEW_MS}
+   * @param sharedClock whether the wall clock is one that all holders read, such as the table's
+   *     own. Then a lease is not taken over before its term ended, and the wait for its holder ends
+   *     with the margin after that
    */
-  public record Terms(long termMs, long marginMs, long maxClockSkewMs) {}
+  public record Terms(long termMs, long marginMs, long maxClockSkewMs, boolean sharedClock) {}
 
   /**
    * An acquired lease.
@@ -86,7 +89,7 @@
       PauseDetector pauses,
       String vm,
       Supplier<String> tokens) {
-    this(table, clock, pauses, vm, tokens, new Terms(TERM_MS, MARGIN_MS, MAX_CLOCK_SKEW_MS));
+    this(table, clock, pauses, vm, tokens, new Terms(TERM_MS, MARGIN_MS, MAX_CLOCK_SKEW_MS, false));
   }
 
   /** Creates a lease with its own times. */
@@ -123,24 +126,6 @@
     return table.read(key).flatMap(this::acquireAfter);
   }
 
-  /**
-   * Reads whether another process holds the lease, by its wall clock. An end further away than a
-   * term can't be true and is ignored.
-   */
-  public synchronized Either<Failure, Boolean> isHeldElsewhere() {
-    if (held != null && remainingMs(held) > 0) {
-      return Either.right(false);
-    }
-    return table
-        .read(key)
-        .map(
-            row -> {
-              JsonNode n = RowJson.read(row.map(Row::value).orElse("{}"));
-              long left = n.path("endsWallMs").asLong() - clock.wallMs();
-              return left > 0 && left <= terms.termMs() + terms.maxClockSkewMs();
-            });
-  }
-
   /**
    * Decides whether an order may be sent now; called immediately before it is sent.
    *
@@ -184,6 +169,10 @@
 
   private Either<Failure, Long> acquireAfter(Optional<Row> row) {
     JsonNode earlier = RowJson.read(row.map(Row::value).orElse("{}"));
+    long heldMs = earlier.path("endsWallMs").asLong() - clock.wallMs();
+    if (terms.sharedClock() && heldMs > 0 && !isOwn(earlier)) {
+      return Either.left(new Failure(ErrorKind.CONFLICT, "another process holds it", heldMs));
+    }
     final long number = earlier.path("number").asLong() + 1;
     final long version = row.map(Row::version).orElse(0L);
     final String token = tokens.get();
@@ -232,14 +221,20 @@
    */
   private long earlierEndsMs(JsonNode earlier, boolean exists) {
     Held h = held;
-    if (h != null && earlier.path("token").asText().equals(h.token())) {
+    if (h != null && isOwn(earlier)) {
       return h.earlierEndsMs();
     }
     long endedAgoMs = clock.wallMs() - earlier.path("endsWallMs").asLong(Long.MAX_VALUE / 2);
     if (!exists || endedAgoMs > terms.maxClockSkewMs()) {
       return clock.nowMs();
     }
-    return clock.nowMs() + terms.termMs() + terms.marginMs();
+    long left = terms.sharedClock() ? -endedAgoMs : terms.termMs();
+    return clock.nowMs() + left + terms.marginMs();
+  }
+
+  private boolean isOwn(JsonNode row) {
+    Held h = held;
+    return h != null && row.path("token").asText().equals(h.token());
   }
 
   private long remainingMs(Held h) {
--- a/org.cowslipyoke/src/main/java/org/cowslipyoke/relay/WeightRollout.java
+++ b/org.cowslipyoke/src/main/java/org/cowslipyoke/relay/WeightRollout.java
@@ -56,7 +56,10 @@
     List<Order> waiting = new ArrayList<>();
     for (Order o : behind) {
       Ordered before = ordered.get(o.server().incarnation());
-      boolean underWay = before != null && clock.nowMs() - before.atMs() < LOAD_MAX_MS;
+      boolean underWay =
+          before != null
+              && before.version() == o.version()
+              && clock.nowMs() - before.atMs() < LOAD_MAX_MS;
       if (underWay) {
         loading.merge(o.server().group(), 1, Integer::sum);
       } else {
