--- a/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/Relay.java
+++ b/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/Relay.java
@@ -84,6 +84,7 @@
       Clock clock,
       StateHolder state,
       CacheDirectory caches,
+      ServerLoads loads,
       RelayDialect dialect,
       MeterRegistry meters,
       QueuedThreadPool threads,
@@ -95,7 +96,6 @@
     this.client = HttpConnector.startClient("", limits, threads, SERVER_IDLE_MS);
     client.setUserAgentField(null);
     client.setDefaultRequestContentType(null);
-    ServerLoads loads = new ServerLoads(clock);
     RelayServices services =
         new RelayServices(
             clock,
--- a/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/RelayAttempt.java
+++ b/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/RelayAttempt.java
@@ -112,6 +112,9 @@
     headers = response.getHeaders().asImmutable();
     AnswerHead h = exchange.services().dialect().decodeAnswer(response.getStatus(), headers);
     head = h;
+    if (plan != null && h.weights() > 0) {
+      load.sawWeights(h.weights());
+    }
     boolean own = exchange.request().id().equals(h.requestId()) || h.requestId() == null;
     streaming = exchange.isStream() && h.sealed() && own && response.getStatus() / 100 == 2;
   }
@@ -192,7 +195,7 @@
     } else if (h.misdirected()) {
       exchange.attemptEnded(this, AttemptEnd.MISDIRECTED, "status " + h.status());
     } else if (h.notRun()) {
-      load.full();
+      load.refused(plan != null && exchange.isReplaced(plan.weights()));
       exchange.attemptEnded(this, AttemptEnd.REFUSED, "status " + h.status());
     } else {
       answered(h);
--- a/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/RelayDialect.java
+++ b/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/RelayDialect.java
@@ -36,7 +36,7 @@
    * @param notRun whether the server states that it did not run the request
    * @param misdirected whether another incarnation or other weights answered
    * @param sealed whether it carries the server's receipt
-   * @param keepIdleMs time for which the server keeps the idle connection, 0 if it does not say
+   * @param weights version of the weights that the server has, 0 if it does not say
    */
   record AnswerHead(
       int status,
@@ -44,7 +44,7 @@
       boolean notRun,
       boolean misdirected,
       boolean sealed,
-      long keepIdleMs) {}
+      int weights) {}
 
   /** Reads the head of a caller's request. */
   Either<Failure, RelayRequest> decode(Request request);
--- a/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/RelayExchange.java
+++ b/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/RelayExchange.java
@@ -22,6 +22,7 @@
 import org.cowslipyoke.relay.RelayRun.Next;
 import org.cowslipyoke.relay.RequestKind;
 import org.cowslipyoke.relay.ServerGroup;
+import org.cowslipyoke.relay.WeightTarget;
 import org.jspecify.annotations.Nullable;
 
 /** One admitted request: its attempts at servers, its end of time, and the leave of its caller. */
@@ -131,6 +132,15 @@
     return Math.max(0, endMs - services.clock().nowMs());
   }
 
+  /** Returns whether newer weights were named for the request's model. */
+  boolean isReplaced(int weights) {
+    WeightTarget t =
+        request.prompt() == null
+            ? null
+            : services.state().get().targets().get(request.prompt().model());
+    return t != null && weights < t.version();
+  }
+
   /** The head of a request to a server. */
   Outbound outbound(BackendServer server, @Nullable PromptPlan plan) {
     String organisation = admitted.tenancy() == null ? null : admitted.tenancy().organisation();
--- a/org.cowslipyoke/src/main/java/org/cowslipyoke/relay/PromptPlacement.java
+++ b/org.cowslipyoke/src/main/java/org/cowslipyoke/relay/PromptPlacement.java
@@ -38,6 +38,9 @@
   /** Cost of a recent failure, in milliseconds. */
   static final double TROUBLE_MS = 300;
 
+  /** Cost of a server that loads weights, in milliseconds: it refuses until the load has ended. */
+  static final double LOADING_MS = 2_500;
+
   /** Cost of weights that are to be replaced, in milliseconds; above any gain from kept parts. */
   static final double OLD_WEIGHTS_MS = 250;
 
@@ -127,17 +130,18 @@
       Others others,
       BackendServer server,
       int rank) {
-    Integer weights = server.weights(p.model());
-    if (weights == null) {
+    Integer listed = server.weights(p.model());
+    if (listed == null) {
       return null;
     }
+    ServerLoad load = loads.of(server);
+    int weights = Math.max(listed, load.weights());
     WeightTarget target = state.targets().get(p.model());
     boolean old = target != null && weights < target.version();
     if (target != null && old && clock.nowMs() - target.sinceMs() > oldWeightsMaxMs) {
       return null;
     }
     Held held = kept.heldAt(server, salt(p.model(), weights, tenancy), p);
-    ServerLoad load = loads.of(server);
     double cost = (p.promptTokens() - held.heldTokens()) / READ_TOKENS_PER_MS;
     cost += (load.unreadTokens() + others.unreadTokens()) / READ_TOKENS_PER_MS;
     cost += RUNNING_MS * load.inFlight();
@@ -146,6 +150,7 @@
     cost += TROUBLE_MS * load.recentTrouble() + RANK_MS * rank;
     cost += old ? OLD_WEIGHTS_MS : 0;
     cost += load.isFull() ? MEMORY_FULL_MS : 0;
+    cost += load.isLoading() ? LOADING_MS : 0;
     cost += directory.isSilent(server.address()) ? SILENT_MS : 0;
     return new Option(server, weights, held, cost);
   }
--- a/org.cowslipyoke/src/main/java/org/cowslipyoke/relay/ServerLoad.java
+++ b/org.cowslipyoke/src/main/java/org/cowslipyoke/relay/ServerLoad.java
@@ -13,19 +13,28 @@
   /** Time for which a server that refused for lack of room is passed over, in milliseconds. */
   static final long FULL_MS = 250;
 
+  /**
+   * Time for which a server that loads weights is passed over, in milliseconds; its state is asked
+   * for at shorter intervals while weights are to be replaced.
+   */
+  static final long LOADING_MS = 700;
+
   private final Clock clock;
+  private int weights;
   private int inFlight;
   private long unreadTokens;
   private long residentTokens;
   private double trouble;
   private long troubleMs;
   private long fullUntilMs;
+  private long loadingUntilMs;
   private double answerMs;
 
   ServerLoad(Clock clock) {
     this.clock = clock;
     this.troubleMs = clock.nowMs();
     this.fullUntilMs = clock.nowMs();
+    this.loadingUntilMs = clock.nowMs();
   }
 
   /**
@@ -62,14 +71,39 @@
     troubleMs = clock.nowMs();
   }
 
-  /** Records that the server refused for lack of room. */
-  public void full() {
-    unavailable(FULL_MS);
+  /**
+   * Records that the server refused a request.
+   *
+   * @param loading whether it has weights that are to be replaced, so that it probably loads others
+   */
+  public synchronized void refused(boolean loading) {
+    if (loading) {
+      loading();
+    }
+    fullUntilMs = clock.nowMs() + FULL_MS;
+  }
+
+  /** Records that the server carries out an order and begins no request meanwhile. */
+  public synchronized void loading() {
+    loadingUntilMs = clock.nowMs() + LOADING_MS;
+  }
+
+  /** Returns whether the server carried out an order a moment ago. */
+  public synchronized boolean isLoading() {
+    return clock.nowMs() < loadingUntilMs;
+  }
+
+  /** Records the version of the weights that the server stated. */
+  public synchronized void sawWeights(int version) {
+    if (version > weights) {
+      weights = version;
+      loadingUntilMs = clock.nowMs();
+    }
   }
 
-  /** Records that the server takes no work for a time. */
-  public synchronized void unavailable(long ms) {
-    fullUntilMs = Math.max(fullUntilMs, clock.nowMs() + ms);
+  /** Returns the newest version of the weights that the server stated in an answer, 0 if none. */
+  public synchronized int weights() {
+    return weights;
   }
 
   /** Returns whether the server refused for lack of room a moment ago. */
--- a/org.cowslipyoke/src/main/java/org/cowslipyoke/relay/WeightRollout.java
+++ b/org.cowslipyoke/src/main/java/org/cowslipyoke/relay/WeightRollout.java
@@ -5,6 +5,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.Predicate;
 import org.cowslipyoke.util.Clock;
 
 /**
@@ -26,6 +27,9 @@
    */
   static final long LOAD_MAX_MS = 7_000;
 
+  /** Time after which a server that carried out another order is asked again, in milliseconds. */
+  static final long BUSY_MS = 400;
+
   /**
    * An order that is due.
    *
@@ -48,9 +52,13 @@
     return !behind(s).isEmpty();
   }
 
-  /** Returns the orders to give now. */
-  public List<Order> next(FleetState s) {
-    List<Order> behind = behind(s);
+  /**
+   * Returns the orders to give now.
+   *
+   * @param isLoaded whether a server reported the version before its entry in the list did
+   */
+  public List<Order> next(FleetState s, Predicate<Order> isLoaded) {
+    List<Order> behind = behind(s).stream().filter(o -> !isLoaded.test(o)).toList();
     ordered.keySet().retainAll(behind.stream().map(o -> o.server().incarnation()).toList());
     Map<String, Integer> loading = new HashMap<>();
     List<Order> waiting = new ArrayList<>();
@@ -77,17 +85,24 @@
     return next;
   }
 
-  /** Records that a server took an order, or that it is loading already. */
+  /** Records that a server took an order, or that it may have. */
   public void underWay(Order o) {
     ordered.put(o.server().incarnation(), new Ordered(o.version(), clock.nowMs()));
   }
 
+  /** Records that a server carries out another order; it is asked again after {@link #BUSY_MS}. */
+  public void busy(Order o) {
+    long atMs = clock.nowMs() - LOAD_MAX_MS + BUSY_MS;
+    ordered.put(o.server().incarnation(), new Ordered(o.version(), atMs));
+  }
+
   private static int atOnce(FleetState s, String group) {
     long servers = s.servers().values().stream().filter(x -> x.group().equals(group)).count();
     return Math.max(MIN_AT_ONCE, (int) Math.round(PART_AT_ONCE * servers));
   }
 
-  private static List<Order> behind(FleetState s) {
+  /** Returns an order for each server whose entry states older weights than were named. */
+  public static List<Order> behind(FleetState s) {
     List<Order> behind = new ArrayList<>();
     for (BackendServer server : s.servers().values()) {
       for (WeightTarget t : s.targets().values()) {
