--- a/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/CallerSide.java
+++ b/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/CallerSide.java
@@ -76,8 +76,16 @@
     response.write(true, ByteBuffer.wrap(body), callback);
   }
 
-  /** Sets the head of a streamed answer. */
-  void head(int status, HttpFields headers) {
+  /**
+   * Sets the head of a streamed answer. Its end is marked by the last chunk also where the
+   * connection ends after it, so that a broken answer does not look whole.
+   */
+  void streamHead(int status, HttpFields headers) {
+    head(status, headers);
+    response.getHeaders().put(HttpHeader.TRANSFER_ENCODING, "chunked");
+  }
+
+  private void head(int status, HttpFields headers) {
     response.setStatus(status);
     for (HttpField f : headers) {
       response.getHeaders().add(f);
--- a/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/RelayAttempt.java
+++ b/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/RelayAttempt.java
@@ -155,7 +155,7 @@
     if (!exchange.run().isAnswerBegun()) {
       exchange.run().answerBegun();
       AnswerHead h = head;
-      caller.head(
+      caller.streamHead(
           h == null ? 200 : h.status(), exchange.services().dialect().answerHeaders(headers));
     }
     String id = events.lastId();
@@ -185,7 +185,7 @@
     load.end(plan == null ? 0 : plan.residentTokens());
     AnswerHead h = head;
     if (result.isFailed() || h == null) {
-      broken(String.valueOf(result.getFailure()));
+      broken(shortened(result.getFailure()));
       return;
     }
     String requestId = h.requestId();
@@ -239,7 +239,9 @@
 
   private void endStream(AnswerHead h) {
     if (!exchange.run().isAnswerBegun()) {
-      exchange.caller().head(h.status(), exchange.services().dialect().answerHeaders(headers));
+      exchange
+          .caller()
+          .streamHead(h.status(), exchange.services().dialect().answerHeaders(headers));
     }
     exchange.answered();
     exchange.caller().end(events.rest());
@@ -253,6 +255,15 @@
     exchange.attemptEnded(this, end, reason);
   }
 
+  /** Jetty's messages describe whole connections; the log needs what failed. */
+  private static String shortened(@Nullable Throwable e) {
+    if (e == null) {
+      return "no answer";
+    }
+    String text = String.valueOf(e.getMessage());
+    return e.getClass().getSimpleName() + ": " + text.substring(0, Math.min(60, text.length()));
+  }
+
   private static void closeConnection(Result result) {
     var c = result.getRequest().getConnection();
     if (c != null) {
--- a/org.cowslipyoke.test/src/test/java/org/cowslipyoke/fake/ManualClock.java
+++ b/org.cowslipyoke.test/src/test/java/org/cowslipyoke/fake/ManualClock.java
@@ -9,6 +9,7 @@
   private static final long WALL_AT_ZERO = 1_700_000_000_000L;
 
   private final AtomicLong now = new AtomicLong(1_000_000);
+  private final AtomicLong wallAhead = new AtomicLong();
 
   @Override
   public long nowMs() {
@@ -17,7 +18,12 @@
 
   @Override
   public long wallMs() {
-    return WALL_AT_ZERO + now.get();
+    return WALL_AT_ZERO + now.get() + wallAhead.get();
+  }
+
+  /** Moves the wall clock alone, as a suspension or a correction of the time of day does. */
+  public void jumpWall(long ms) {
+    wallAhead.addAndGet(ms);
   }
 
   /** Moves both clocks forward. */
--- a/org.cowslipyoke.test/src/test/java/org/cowslipyoke/http/JsonBoundsTest.java
+++ b/org.cowslipyoke.test/src/test/java/org/cowslipyoke/http/JsonBoundsTest.java
@@ -7,8 +7,8 @@
 import java.io.ByteArrayInputStream;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
-import org.cowslipyoke.util.Json;
 import org.cowslipyoke.http.internal.LineReader;
+import org.cowslipyoke.util.Json;
 import org.cowslipyoke.util.MalformedAnswerException;
 import org.junit.jupiter.api.Test;
 
--- a/org.cowslipyoke.test/src/test/java/org/cowslipyoke/lease/OrderLeaseTest.java
+++ b/org.cowslipyoke.test/src/test/java/org/cowslipyoke/lease/OrderLeaseTest.java
@@ -212,4 +212,52 @@
     table.outage(true);
     assertEquals(ErrorKind.STORE_UNAVAILABLE, s.acquire("w", 2).getLeft().kind());
   }
+
+  private OrderLease shared(String token) {
+    PauseDetector pauses = new PauseDetector(clock);
+    detectors.add(pauses);
+    OrderLease.Terms terms = new OrderLease.Terms(2_000, 3_000, 3_000, true);
+    return new OrderLease(table, clock, pauses, "s1", () -> token + tokens++, terms);
+  }
+
+  /** Guards against two processes that take the lease from each other, so that neither acts. */
+  @Test
+  void leaseWithASharedClockIsNotTakenBeforeItsTermEnds() {
+    OrderLease a = shared("a");
+    OrderLease b = shared("b");
+    assertEquals(1, a.acquire().get());
+    assertEquals(ErrorKind.CONFLICT, b.acquire().getLeft().kind());
+    assertEquals(1, a.checkOrder(true, 500).get());
+    run(2_000);
+    assertEquals(2, b.acquire().get());
+    assertEquals(ErrorKind.NOT_READY, kindOf(a, true));
+  }
+
+  /** Guards against orders of two holders that follow each other too closely. */
+  @Test
+  void newHolderWaitsForTheMarginAfterTheEarlierTerm() {
+    OrderLease a = shared("a");
+    OrderLease b = shared("b");
+    assertEquals(1, a.acquire().get());
+    run(2_000);
+    assertEquals(2, b.acquire().get());
+    long waitMs = b.checkOrder(true, 500).getLeft().retryAfterMs();
+    assertEquals(3_000, waitMs);
+    run(2_750);
+    b.acquire();
+    assertEquals(ErrorKind.NOT_READY, kindOf(b, true));
+    run(250);
+    b.acquire();
+    assertTrue(b.checkOrder(true, 500).isRight());
+  }
+
+  /** A holder that gave its last order long ago is not waited for. */
+  @Test
+  void termThatEndedBeforeTheMarginIsNotWaitedFor() {
+    shared("a").acquire();
+    run(5_250);
+    OrderLease b = shared("b");
+    b.acquire();
+    assertTrue(b.checkOrder(true, 500).isRight());
+  }
 }
--- /dev/null
+++ b/org.cowslipyoke.test/src/test/java/org/cowslipyoke/relay/PromptPlacementTest.java
@@ -0,0 +1,133 @@
+package org.cowslipyoke.relay;
+
+import static java.util.Objects.requireNonNull;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+class PromptPlacementTest {
+
+  private final RelayFixture fixture = new RelayFixture();
+  private final PromptPlacement placement = fixture.placement();
+  private final BackendServer s1 = RelayFixture.server("s1", 1);
+  private final BackendServer s2 = RelayFixture.server("s2", 1);
+  private final BackendServer s3 = RelayFixture.server("s3", 1);
+
+  @BeforeEach
+  void load() {
+    fixture.load(1, Map.of(), s1, s2, s3);
+  }
+
+  private Optional<PromptPlan> plan(Prompt p) {
+    FleetState s = fixture.state.get();
+    ServerGroup group =
+        requireNonNull(requireNonNull(s.desired()).groups().get(RelayFixture.GROUP));
+    return fixture.placement().choose(p, null, s, group, s.available(RelayFixture.GROUP));
+  }
+
+  @Test
+  void promptGoesWhereItsPartsAreHeld() {
+    for (BackendServer s : List.of(s1, s2, s3)) {
+      String doc = "doc-" + s.id();
+      fixture.holds(s.address(), "org", doc);
+      PromptPlan p = plan(RelayFixture.prompt("org", doc)).orElseThrow();
+      assertEquals(s.id(), p.server().id());
+      assertEquals(1_000, p.unreadTokens());
+    }
+  }
+
+  /** Guards against a popular prefix that keeps one server busy while others are idle. */
+  @Test
+  void workThatWaitsMovesPromptsElsewhere() {
+    fixture.holds(s1.address(), "org", "doc");
+    fixture.loads.of(s1).begin(30_000, 0);
+    PromptPlan p = plan(RelayFixture.prompt("org", "doc")).orElseThrow();
+    assertNotEquals("s1", p.server().id());
+    assertEquals(List.of("s1:80", "s1:80", ""), p.sources());
+    assertEquals(1_000, p.unreadTokens());
+  }
+
+  /**
+   * Guards against fetches that engines don't make: they stop at the first part without a source,
+   * so a part that the server holds has to be named as well.
+   */
+  @Test
+  void everyLeadingPartHasASource() {
+    fixture.holds(s1.address(), "org");
+    fixture.holds("store-b:1", "org", "doc");
+    fixture.loads.of(s2).begin(90_000, 0);
+    fixture.loads.of(s3).begin(90_000, 0);
+    PromptPlan p = plan(RelayFixture.prompt("org", "doc")).orElseThrow();
+    assertEquals("s1", p.server().id());
+    assertEquals(List.of("store-b:1", "store-b:1", ""), p.sources());
+  }
+
+  /** Guards against a fetch from a store whose contents are not known to be whole any more. */
+  @Test
+  void staleReadingsAreNoSources() {
+    fixture.holds("store-b:1", "org", "doc");
+    fixture.clock.advance(CacheDirectory.MAX_AGE_MS + 1);
+    fixture.load(1, Map.of(), s1, s2, s3);
+    PromptPlan p = plan(RelayFixture.prompt("org", "doc")).orElseThrow();
+    assertEquals(List.of("", "", ""), p.sources());
+    assertEquals(9_000, p.unreadTokens());
+  }
+
+  /** Guards against a save to a store that restarted, which another entry may still read from. */
+  @Test
+  void nothingIsSavedToAStoreThatJustRestarted() {
+    fixture.holds("store-a:1");
+    fixture.holds("store-b:1");
+    assertEquals(List.of("", "", ""), plan(RelayFixture.prompt("org", "d1")).get().targets());
+    fixture.clock.advance(CacheDirectory.SETTLE_MS);
+    fixture.load(1, Map.of(), s1, s2, s3);
+    fixture.holds("store-a:1");
+    fixture.holds("store-b:1");
+    List<String> targets = plan(RelayFixture.prompt("org", "d2")).get().targets();
+    assertTrue(targets.get(0).startsWith("store-") && targets.get(1).startsWith("store-"));
+    assertEquals("", targets.get(2));
+    assertEquals("", plan(RelayFixture.prompt("org", "d3")).get().targets().get(0));
+  }
+
+  /** Guards against waiting at a server that went dark before its entry left the list. */
+  @Test
+  void silentServersAreAvoided() {
+    fixture.holds(s1.address(), "org", "doc");
+    fixture.clock.advance(CacheDirectory.MAX_AGE_MS + 1);
+    fixture.directory.at(s2.address()).signOfLife(fixture.clock.nowMs());
+    PromptPlan p = plan(RelayFixture.prompt("org", "doc")).orElseThrow();
+    assertEquals("s2", p.server().id());
+  }
+
+  /** Guards against new requests on replaced weights, and against refusing while none are new. */
+  @Test
+  void oldWeightsAreAvoidedAndGivenUpInTime() {
+    BackendServer swapped = RelayFixture.server("s3", 2);
+    fixture.load(2, Map.of(RelayFixture.MODEL, 2), s1, s2, swapped);
+    assertEquals("s3", plan(RelayFixture.prompt("o", "d")).orElseThrow().server().id());
+    fixture.load(3, Map.of(RelayFixture.MODEL, 2), s1, s2, s3);
+    assertEquals(1, plan(RelayFixture.prompt("o", "d")).orElseThrow().weights());
+    fixture.clock.advance(11_001);
+    fixture.load(4, Map.of(RelayFixture.MODEL, 2), s1, s2, s3);
+    assertTrue(plan(RelayFixture.prompt("o", "d")).isEmpty());
+    fixture.loads.of(s1).sawWeights(2);
+    assertEquals(2, plan(RelayFixture.prompt("o", "d")).orElseThrow().weights());
+  }
+
+  /** Guards against KV cache of other weights or of a walled organisation. */
+  @Test
+  void saltSeparatesWeightsAndWalledOrganisations() {
+    Tenancy shared = new Tenancy("o1", null, false);
+    Tenancy walled = new Tenancy("o2", null, true);
+    String salt = PromptPlacement.salt("m", 1, shared);
+    assertEquals(salt, PromptPlacement.salt("m", 1, null));
+    assertNotEquals(salt, PromptPlacement.salt("m", 2, shared));
+    assertNotEquals(salt, PromptPlacement.salt("m", 1, walled));
+  }
+}
--- /dev/null
+++ b/org.cowslipyoke.test/src/test/java/org/cowslipyoke/relay/RelayFixture.java
@@ -0,0 +1,108 @@
+package org.cowslipyoke.relay;
+
+import java.util.Arrays;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.cowslipyoke.fake.ManualClock;
+
+/** Builds states, routes and prompts for tests of the relay's decisions. */
+final class RelayFixture {
+
+  static final String MODEL = "m";
+  static final String GROUP = "engines";
+
+  final ManualClock clock = new ManualClock();
+  final StateHolder state = new StateHolder(clock);
+  final CacheDirectory directory = new CacheDirectory(clock);
+  final ServerLoads loads = new ServerLoads(clock);
+  final List<CacheStore> stores = List.of(store("a", 100_000), store("b", 1_000_000));
+
+  static CacheStore store(String name, long tokens) {
+    return new CacheStore(name, "store-" + name + ":1", "d1", tokens, 100_000, 1, true);
+  }
+
+  static Route route(RequestKind kind, boolean resumable, int attempts) {
+    return new Route(
+        "r",
+        "host.example",
+        "/a/",
+        kind,
+        resumable,
+        5_000,
+        500,
+        attempts,
+        1,
+        false,
+        List.of(new Route.Share(GROUP, 1)));
+  }
+
+  DesiredState desired(long version, String... keys) {
+    Map<String, Tenancy> byKey = new HashMap<>();
+    for (String k : keys) {
+      byKey.put(k, new Tenancy("org-" + k, null, false));
+    }
+    ServerGroup.Engine engine = new ServerGroup.Engine(128, 64_000, 35_000, 740_000, true);
+    return new DesiredState(
+        version,
+        new RouteTable(List.of(route(RequestKind.STREAM, true, 2))),
+        Map.of(GROUP, new ServerGroup(GROUP, 600, 15, engine)),
+        stores,
+        true,
+        byKey,
+        1 << 20,
+        15_000);
+  }
+
+  static BackendServer server(String id, int weights) {
+    return new BackendServer(id, 1, GROUP, id, 80, "d1", false, 0, 128, Map.of(MODEL, weights));
+  }
+
+  /** Puts a desired state and servers in force, and engines that answer their reader. */
+  void load(long version, Map<String, Integer> targets, BackendServer... servers) {
+    read(version, targets, "key");
+    Map<String, BackendServer> byId = new HashMap<>();
+    for (BackendServer s : servers) {
+      byId.put(s.id(), s);
+      directory.at(s.address()).events(1, 0, false, List.of(), clock.nowMs());
+    }
+    state.serversRead(byId, clock.nowMs());
+  }
+
+  /** Takes a reading of what operators wrote, sent now. */
+  void read(long version, Map<String, Integer> targets, String... keys) {
+    state.operatorRead(desired(version, keys), Set.of(), targets, clock.nowMs(), clock.wallMs());
+  }
+
+  /** Lets a place report that it holds parts under the salt of weights version 1. */
+  void holds(String address, String... parts) {
+    List<CacheContents.Change> changes =
+        Arrays.stream(parts).map(p -> new CacheContents.Change(key(p), 4_000)).toList();
+    directory.at(address).events(1, 0, false, changes, clock.nowMs());
+  }
+
+  static CacheContents.Key key(String part) {
+    return new CacheContents.Key(PromptPlacement.salt(MODEL, 1, null), part);
+  }
+
+  /** A prompt of two shared parts of 4,000 tokens and an own one of 1,000. */
+  static Prompt prompt(String first, String second) {
+    return new Prompt(
+        MODEL,
+        9_000,
+        50,
+        List.of(
+            new Prompt.Part(first, 4_000),
+            new Prompt.Part(second, 4_000),
+            new Prompt.Part("own", 1_000)));
+  }
+
+  PromptPlacement placement() {
+    return new PromptPlacement(clock, loads, directory, new KeptParts(directory), 11_000);
+  }
+
+  static RelayRequest request(String host, String path, String key) {
+    return new RelayRequest("id", "POST", host, path, path, 5_000, key, null, null);
+  }
+}
