--- a/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/Relay.java
+++ b/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/Relay.java
@@ -28,8 +28,12 @@
 /** The HTTP front of an entry that passes requests on to backend servers. */
 public final class Relay {
 
-  /** Time for which a stopping process still takes requests, in milliseconds. */
-  static final long DRAIN_DELAY_MS = 3_000;
+  /**
+   * Time for which a stopping process still takes requests, in milliseconds. The platform asks for
+   * readiness every second and takes an entry out after two misses; requests that come later than
+   * 3,000 ms must not be cut.
+   */
+  static final long DRAIN_DELAY_MS = 2_500;
 
   /** Interval in which a stopping process looks whether its last request has ended. */
   private static final long DRAIN_STEP_MS = 50;
--- a/org.cowslipyoke.test/src/test/java/org/cowslipyoke/relay/PromptPlacementTest.java
+++ b/org.cowslipyoke.test/src/test/java/org/cowslipyoke/relay/PromptPlacementTest.java
@@ -28,7 +28,7 @@
     FleetState s = fixture.state.get();
     ServerGroup group =
         requireNonNull(requireNonNull(s.desired()).groups().get(RelayFixture.GROUP));
-    return fixture.placement().choose(p, null, s, group, s.available(RelayFixture.GROUP));
+    return placement.choose(p, null, s, group, s.available(RelayFixture.GROUP));
   }
 
   @Test
@@ -130,4 +130,20 @@
     assertNotEquals(salt, PromptPlacement.salt("m", 2, shared));
     assertNotEquals(salt, PromptPlacement.salt("m", 1, walled));
   }
+
+  /** Guards against old weights at a process that restarted and can't know when new ones came. */
+  @Test
+  void weightsThatWereFoundAtTheStartAreBindingSoon() {
+    RelayFixture restarted = new RelayFixture();
+    restarted.load(1, Map.of(RelayFixture.MODEL, 2), s1, s2, s3);
+    restarted.clock.advance(WeightTarget.FOUND_MAX_MS + 1);
+    FleetState s = restarted.state.get();
+    ServerGroup group =
+        requireNonNull(requireNonNull(s.desired()).groups().get(RelayFixture.GROUP));
+    assertTrue(
+        restarted
+            .placement()
+            .choose(RelayFixture.prompt("o", "d"), null, s, group, List.of(s1, s2, s3))
+            .isEmpty());
+  }
 }
--- a/org.cowslipyoke/src/main/java/org/cowslipyoke/relay/PromptPlacement.java
+++ b/org.cowslipyoke/src/main/java/org/cowslipyoke/relay/PromptPlacement.java
@@ -138,7 +138,7 @@
     int weights = Math.max(listed, load.weights());
     WeightTarget target = state.targets().get(p.model());
     boolean old = target != null && weights < target.version();
-    if (target != null && old && clock.nowMs() - target.sinceMs() > oldWeightsMaxMs) {
+    if (target != null && old && target.isFinal(clock.nowMs(), oldWeightsMaxMs)) {
       return null;
     }
     Held held = kept.heldAt(server, salt(p.model(), weights, tenancy), p);
--- a/org.cowslipyoke/src/main/java/org/cowslipyoke/relay/StateHolder.java
+++ b/org.cowslipyoke/src/main/java/org/cowslipyoke/relay/StateHolder.java
@@ -80,7 +80,7 @@
         (model, version) -> {
           WeightTarget t = next.get(model);
           if (t == null || t.version() < version) {
-            next.put(model, new WeightTarget(model, version, clock.nowMs()));
+            next.put(model, new WeightTarget(model, version, clock.nowMs(), s.desired() == null));
           }
         });
     return Map.copyOf(next);
