--- a/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/RelayExchange.java
+++ b/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/RelayExchange.java
@@ -253,6 +253,7 @@
       case PASS_ON -> a.passOn();
       case FAIL -> fail(run.failure());
       case CUT -> cut("the server's answer broke off");
+      default -> throw new IllegalStateException("unknown step " + next);
     }
   }
 
--- a/org.cowslipyoke.test/src/test/java/org/cowslipyoke/lease/OrderLeaseTest.java
+++ b/org.cowslipyoke.test/src/test/java/org/cowslipyoke/lease/OrderLeaseTest.java
@@ -222,7 +222,7 @@
 
   /** Guards against two processes that take the lease from each other, so that neither acts. */
   @Test
-  void leaseWithASharedClockIsNotTakenBeforeItsTermEnds() {
+  void leaseOnSharedClockIsNotTakenBeforeItsTermEnds() {
     OrderLease a = shared("a");
     OrderLease b = shared("b");
     assertEquals(1, a.acquire().get());
--- a/org.cowslipyoke.test/src/test/java/org/cowslipyoke/relay/LimitsTest.java
+++ b/org.cowslipyoke.test/src/test/java/org/cowslipyoke/relay/LimitsTest.java
@@ -21,7 +21,7 @@
    * Guards against a cold server that falls over: all entries stay below its rate in any second.
    */
   @Test
-  void sharesOfAColdServerStayBelowItsRate() {
+  void sharesOfColdServerStayBelowItsRate() {
     int entries = 5;
     List<ColdShare> shares = Stream.generate(() -> new ColdShare(clock)).limit(entries).toList();
     clock.advance(ColdShare.SETTLE_MS);
--- a/org.cowslipyoke.test/src/test/java/org/cowslipyoke/relay/PromptPlacementTest.java
+++ b/org.cowslipyoke.test/src/test/java/org/cowslipyoke/relay/PromptPlacementTest.java
@@ -58,7 +58,7 @@
    * so a part that the server holds has to be named as well.
    */
   @Test
-  void everyLeadingPartHasASource() {
+  void everyLeadingPartIsNamedWithSource() {
     fixture.holds(s1.address(), "org");
     fixture.holds("store-b:1", "org", "doc");
     fixture.loads.of(s2).begin(90_000, 0);
@@ -81,7 +81,7 @@
 
   /** Guards against a save to a store that restarted, which another entry may still read from. */
   @Test
-  void nothingIsSavedToAStoreThatJustRestarted() {
+  void nothingIsSavedToStoreThatJustRestarted() {
     fixture.holds("store-a:1");
     fixture.holds("store-b:1");
     assertEquals(List.of("", "", ""), plan(RelayFixture.prompt("org", "d1")).get().targets());
--- a/org.cowslipyoke.test/src/test/java/org/cowslipyoke/relay/WeightRolloutTest.java
+++ b/org.cowslipyoke.test/src/test/java/org/cowslipyoke/relay/WeightRolloutTest.java
@@ -30,7 +30,7 @@
   }
 
   @Test
-  void twoServersLoadAtATime() {
+  void twoServersLoadTogether() {
     FleetState s = state(2, 1, 1, 1, 1, 1, 1);
     assertEquals(2, take(s).size());
     assertTrue(take(s).isEmpty());
