Refuse streams that would be late at once and cut answers that can't go on

Change: a begun answer is cut; a stream whose first event is expected later than 0.8 of its objective is refused at once, with the time after which the waiting work will be done. Seen to fail first: RelayHttpTest.streamThatFindsNoOtherServerIsCut, EarlyRefusalTest.overloadLeavesTheServedOnesInTime.

--- a/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/RelayExchange.java
+++ b/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/RelayExchange.java
@@ -15,6 +15,7 @@
 import org.cowslipyoke.relay.Admission.Admitted;
 import org.cowslipyoke.relay.AttemptEnd;
 import org.cowslipyoke.relay.BackendServer;
+import org.cowslipyoke.relay.EarlyRefusal;
 import org.cowslipyoke.relay.FleetState;
 import org.cowslipyoke.relay.PromptPlan;
 import org.cowslipyoke.relay.RelayRequest;
@@ -31,14 +32,6 @@
   /** Shortest time left for which another attempt is begun, in milliseconds. */
   static final long MIN_ATTEMPT_MS = 30;
 
-  /**
-   * Shortest time for which callers wait for the first event of a stream, in milliseconds, and the
-   * objectives for which they wait at least; from the interface of the users' callers.
-   */
-  static final long STREAM_PATIENCE_MS = 2_000;
-
-  static final int STREAM_PATIENCE_OBJECTIVES = 4;
-
   private static final Logger LOG = LogManager.getLogger(RelayExchange.class);
 
   private final RelayServices services;
@@ -190,11 +183,10 @@
     if (plan.isEmpty()) {
       return new Placed(null, null, none);
     }
-    double estimate = plan.get().estimateMs();
-    if (estimate > patienceMs()) {
-      String text = "the first token is expected in " + Math.round(estimate) + " ms";
-      long wait = Math.round(estimate / 2);
-      return new Placed(null, null, new Failure(ErrorKind.DEADLINE_TOO_SHORT, text, wait));
+    Optional<Failure> late =
+        EarlyRefusal.decide(admitted.route(), elapsedMs(), leftMs(), plan.get().estimateMs());
+    if (late.isPresent() && !run.isAnswerBegun()) {
+      return new Placed(null, null, late.get());
     }
     BackendServer server = plan.get().server();
     return takeCold(state, group, server)
@@ -218,12 +210,6 @@
         || services.cold().tryTake(server, group.coldPerSecond(), state.entries());
   }
 
-  private double patienceMs() {
-    long objective = admitted.route().objectiveMs() * STREAM_PATIENCE_OBJECTIVES;
-    long patience = Math.max(STREAM_PATIENCE_MS, objective);
-    return Math.min(leftMs(), isStream() ? patience - elapsedMs() : leftMs());
-  }
-
   /** An attempt ended without a whole answer. */
   void attemptEnded(RelayAttempt a, AttemptEnd end, String reason) {
     Next next;
@@ -304,6 +290,10 @@
   }
 
   private void fail(Failure f) {
+    if (run.isAnswerBegun()) {
+      cut("the answer can't go on: " + f.message());
+      return;
+    }
     services.metrics().own(f.kind());
     LOG.info(
         "own answer: request={} route={} kind={} reason={} tries={} elapsedMs={}",
--- /dev/null
+++ b/org.cowslipyoke.test/src/test/java/org/cowslipyoke/relay/EarlyRefusalTest.java
@@ -0,0 +1,63 @@
+package org.cowslipyoke.relay;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import org.cowslipyoke.errors.Outcome;
+import org.junit.jupiter.api.Test;
+
+class EarlyRefusalTest {
+
+  private static final Route ROUTE = RelayFixture.route(RequestKind.STREAM, true, 2);
+  private static final long READ_MS = 100;
+  private static final long ARRIVAL_MS = 70;
+  private static final int PROMPTS = 400;
+
+  /** What callers get: prompts whose first event comes within the objective. */
+  private static int inTime(boolean refuse) {
+    long freeMs = 0;
+    int inTime = 0;
+    for (int i = 0; i < PROMPTS; i++) {
+      long now = i * ARRIVAL_MS;
+      long expected = Math.max(0, freeMs - now) + READ_MS;
+      if (refuse && EarlyRefusal.decide(ROUTE, 0, 5_000, (double) expected).isPresent()) {
+        continue;
+      }
+      freeMs = now + expected;
+      inTime += expected <= ROUTE.objectiveMs() ? 1 : 0;
+    }
+    return inTime;
+  }
+
+  /**
+   * Plays 1.4 times the prompts that an engine reads. Guards against all of them being late: at
+   * least half of those that the engine could serve are answered in time.
+   */
+  @Test
+  void overloadLeavesTheServedOnesInTime() {
+    int possible = (int) (PROMPTS * ARRIVAL_MS / READ_MS);
+    int without = inTime(false);
+    int with = inTime(true);
+    System.out.println("in time: without " + without + ", with " + with + " of " + possible);
+    assertTrue(with >= possible / 2, "in time " + with);
+    assertTrue(with >= 5 * without, "in time " + with + " against " + without);
+  }
+
+  @Test
+  void refusalSaysNotRunAndWhenToComeBack() {
+    var refusal = EarlyRefusal.decide(ROUTE, 0, 5_000, 401).orElseThrow();
+    assertEquals(Outcome.NOT_RUN, refusal.outcome());
+    assertEquals(401, refusal.retryAfterMs());
+    assertTrue(EarlyRefusal.decide(ROUTE, 0, 5_000, 400).isEmpty());
+    assertTrue(EarlyRefusal.decide(ROUTE, 100, 5_000, 301).isPresent());
+    assertTrue(EarlyRefusal.decide(ROUTE, 0, 100, 200).isPresent());
+  }
+
+  /** Other requests are refused only if they can't be answered in their time. */
+  @Test
+  void callsHaveNoObjectiveForTheirFirstByte() {
+    Route call = RelayFixture.route(RequestKind.IDEMPOTENT, false, 2);
+    assertTrue(EarlyRefusal.decide(call, 0, 5_000, 4_000).isEmpty());
+    assertTrue(EarlyRefusal.decide(call, 0, 3_000, 4_000).isPresent());
+  }
+}
