Find the jars of the demo below target

Cause: bin/demo looked for jars in each module's own target folder; it failed since the build folders moved.

--- a/org.cowslipyoke.bench/src/main/java/org/cowslipyoke/bench/LocalProcesses.java
+++ b/org.cowslipyoke.bench/src/main/java/org/cowslipyoke/bench/LocalProcesses.java
@@ -93,7 +93,7 @@
 
   /** Returns the jar of a module with all its libraries. */
   Path jar(String module) {
-    Path target = root.resolve(module).resolve("target");
+    Path target = root.resolve("target").resolve(module);
     try (Stream<Path> files = Files.list(target)) {
       return files
           .filter(f -> f.getFileName().toString().endsWith("-all.jar"))
