--- a/org.cowslipyoke/src/main/java/org/cowslipyoke/relay/KeptParts.java
+++ b/org.cowslipyoke/src/main/java/org/cowslipyoke/relay/KeptParts.java
@@ -2,12 +2,14 @@
 
 import com.github.benmanes.caffeine.cache.Cache;
 import com.github.benmanes.caffeine.cache.Caffeine;
+import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.List;
 import java.util.Optional;
 import org.cowslipyoke.relay.Prompt.Part;
+import org.cowslipyoke.util.Rendezvous;
 
 /**
  * Decides where the parts of a prompt are fetched from and which store keeps them. Answers for
@@ -125,7 +127,7 @@
     CacheStore best = null;
     double bestScore = 0;
     for (CacheStore s : stores) {
-      long h = mix((part + '/' + s.name()).hashCode() * 0x9e3779b97f4a7c15L);
+      long h = Rendezvous.weight(part.getBytes(StandardCharsets.UTF_8), s.name());
       double unit = ((h >>> 11) + 1) * 0x1.0p-53;
       double score = s.cacheTokens() / -Math.log(unit);
       if (best == null || score > bestScore) {
@@ -135,11 +137,4 @@
     }
     return Optional.ofNullable(best);
   }
-
-  /** Finalizer of SplitMix64. */
-  private static long mix(long h) {
-    long z = (h ^ (h >>> 30)) * 0xbf58476d1ce4e5b9L;
-    z = (z ^ (z >>> 27)) * 0x94d049bb133111ebL;
-    return z ^ (z >>> 31);
-  }
 }
--- a/org.cowslipyoke/src/main/java/org/cowslipyoke/util/Rendezvous.java
+++ b/org.cowslipyoke/src/main/java/org/cowslipyoke/util/Rendezvous.java
@@ -29,12 +29,10 @@
       byte[] key, Collection<N> nodes, Function<N, String> id, int count) {
     record Ranked<N>(N node, String id, long weight) {}
 
-    long seed = fnv(0xcbf29ce484222325L, key);
     List<Ranked<N>> ranked = new ArrayList<>(nodes.size());
     for (N n : nodes) {
       String name = id.apply(n);
-      long w = mix(fnv(seed, name.getBytes(StandardCharsets.UTF_8)));
-      ranked.add(new Ranked<>(n, name, w));
+      ranked.add(new Ranked<>(n, name, weight(key, name)));
     }
     Comparator<Ranked<N>> order =
         (a, b) -> {
@@ -45,6 +43,11 @@
     return ranked.stream().limit(count).map(Ranked::node).toList();
   }
 
+  /** Returns the weight of a node for a key, uniform over all 64-bit values. */
+  public static long weight(byte[] key, String id) {
+    return mix(fnv(fnv(0xcbf29ce484222325L, key), id.getBytes(StandardCharsets.UTF_8)));
+  }
+
   /** FNV-1a with 64 bits. */
   private static long fnv(long seed, byte[] bytes) {
     long h = seed;
