Refuse by the expected time alone

Seen to fail first: PromptPlacementTest.expectedTimeHoldsNoPenalties (estimate without this change above 1,900 ms).

--- a/org.cowslipyoke.test/src/test/java/org/cowslipyoke/relay/PromptPlacementTest.java
+++ b/org.cowslipyoke.test/src/test/java/org/cowslipyoke/relay/PromptPlacementTest.java
@@ -146,4 +146,18 @@
             .choose(RelayFixture.prompt("o", "d"), null, s, group, List.of(s1, s2, s3))
             .isEmpty());
   }
+
+  /**
+   * Guards against refusals because of what speaks against a server but delays nothing for sure.
+   */
+  @Test
+  void expectedTimeHoldsNoPenalties() {
+    for (BackendServer s : List.of(s1, s2, s3)) {
+      fixture.loads.of(s).trouble(3);
+      fixture.loads.of(s).refused(false);
+      fixture.loads.of(s).begin(0, 60_000);
+    }
+    PromptPlan p = plan(RelayFixture.prompt("org", "doc")).orElseThrow();
+    assertEquals(9_000 / PromptPlacement.READ_TOKENS_PER_MS, p.estimateMs(), 5);
+  }
 }
--- a/org.cowslipyoke/src/main/java/org/cowslipyoke/relay/EarlyRefusal.java
+++ b/org.cowslipyoke/src/main/java/org/cowslipyoke/relay/EarlyRefusal.java
@@ -14,10 +14,10 @@
 
   /**
    * Part of the route's objective up to which an expected first event is worth the work. Under
-   * lasting overload the work that waits settles at this limit, so it lies below the objective by
-   * the time of an engine's first step and of the network, 70 to 100 ms of 500.
+   * lasting overload the work that waits settles at this limit, so a higher one makes all answers
+   * late; a lower one refuses prompts that a short burst delays (0.8 cost a tenth of a calm day).
    */
-  static final double OBJECTIVE_PART = 0.8;
+  static final double OBJECTIVE_PART = 1.0;
 
   /** Longest expected time where a route states no objective, in ms; callers give up after it. */
   static final long NO_OBJECTIVE_MS = 2_000;
--- a/org.cowslipyoke/src/main/java/org/cowslipyoke/relay/PromptPlacement.java
+++ b/org.cowslipyoke/src/main/java/org/cowslipyoke/relay/PromptPlacement.java
@@ -38,7 +38,7 @@
   /** Cost of a recent failure, in milliseconds. */
   static final double TROUBLE_MS = 300;
 
-  /** Cost of a server that loads weights, in milliseconds: it refuses until the load has ended. */
+  /** Expected wait at a server that loads weights, in ms: it refuses until the load has ended. */
   static final double LOADING_MS = 2_500;
 
   /** Cost of weights that are to be replaced, in milliseconds; above any gain from kept parts. */
@@ -88,7 +88,14 @@
     return new Others(unread * part, resident * part);
   }
 
-  private record Option(BackendServer server, int weights, Held held, double costMs) {}
+  /**
+   * A server that could take the prompt.
+   *
+   * @param expectedMs expected time to the first token
+   * @param costMs the same with what speaks against the server but delays no request for sure
+   */
+  private record Option(
+      BackendServer server, int weights, Held held, double expectedMs, double costMs) {}
 
   /** Chooses a server, or none if no candidate holds weights that may be used. */
   public Optional<PromptPlan> choose(
@@ -142,17 +149,17 @@
       return null;
     }
     Held held = kept.heldAt(server, salt(p.model(), weights, tenancy), p);
-    double cost = (p.promptTokens() - held.heldTokens()) / READ_TOKENS_PER_MS;
-    cost += (load.unreadTokens() + others.unreadTokens()) / READ_TOKENS_PER_MS;
-    cost += RUNNING_MS * load.inFlight();
+    double expected = (p.promptTokens() - held.heldTokens()) / READ_TOKENS_PER_MS;
+    expected += (load.unreadTokens() + others.unreadTokens()) / READ_TOKENS_PER_MS;
+    expected += RUNNING_MS * load.inFlight();
+    expected += load.isLoading() ? LOADING_MS : 0;
+    expected += directory.isSilent(server.address()) ? SILENT_MS : 0;
     double resident = load.residentTokens() + others.residentTokens();
-    cost += memoryCost(group, resident + p.promptTokens());
+    double cost = expected + memoryCost(group, resident + p.promptTokens());
     cost += TROUBLE_MS * load.recentTrouble() + RANK_MS * rank;
     cost += old ? OLD_WEIGHTS_MS : 0;
     cost += load.isFull() ? MEMORY_FULL_MS : 0;
-    cost += load.isLoading() ? LOADING_MS : 0;
-    cost += directory.isSilent(server.address()) ? SILENT_MS : 0;
-    return new Option(server, weights, held, cost);
+    return new Option(server, weights, held, expected, cost);
   }
 
   private PromptPlan plan(
@@ -184,7 +191,7 @@
         salt,
         unread,
         (long) p.promptTokens() + p.answerTokens(),
-        o.costMs(),
+        o.expectedMs(),
         sources,
         managed ? kept.targets(stores, salt, p) : none);
   }
