--- a/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/entry/EntryHandler.java
+++ b/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/entry/EntryHandler.java
@@ -44,28 +44,28 @@
     Exchange x = new Exchange(request, response, callback, requestId);
     Optional<Failure> closed = admission.closed();
     if (closed.isPresent()) {
-      return refuse(x, closed.get());
+      return refuseUnread(x, closed.get());
     }
     Configuration c = admission.configuration();
     Optional<Organisation> organisation = organisation(c, request);
     if (organisation.isEmpty()) {
-      return refuse(x, Failure.of(ErrorKind.UNAUTHENTICATED, "the bearer key is not known"));
+      return refuseUnread(x, Failure.of(ErrorKind.UNAUTHENTICATED, "the bearer key is not known"));
     }
     Either<Failure, Caller> caller =
         Caller.of(
             organisation.get(), request.getHeaders(), requestId, c.limits().defaultDeadlineMs());
     if (caller.isLeft()) {
-      return refuse(x, caller.getLeft());
+      return refuseUnread(x, caller.getLeft());
     }
     String path = Request.getPathInContext(request);
     boolean isChat = path.equals(CHAT_PATH) && request.getMethod().equals("POST");
     Optional<Service> service = isChat ? Optional.empty() : services.find(c, path);
     if (!isChat && service.isEmpty()) {
-      return refuse(x, Failure.of(ErrorKind.NOT_FOUND, "there is nothing at this path"));
+      return refuseUnread(x, Failure.of(ErrorKind.NOT_FOUND, "there is nothing at this path"));
     }
     Either<Failure, Permit> permit = admission.admit(organisation.get());
     if (permit.isLeft()) {
-      return refuse(x, permit.getLeft());
+      return refuseUnread(x, permit.getLeft());
     }
     Runnable end = admission.began(permit.get(), request);
     readBody(x, c, caller.get(), service, end);
@@ -108,6 +108,17 @@
     return keys.find(c, header.substring(7).trim());
   }
 
+  /**
+   * Refuses a request before its body was read. The connection can't be used again, because Jetty
+   * closes it if the body has not arrived; the header tells the caller so.
+   */
+  private boolean refuseUnread(Exchange x, Failure failure) {
+    if (x.request().getLength() != 0) {
+      x.response().getHeaders().put(HttpHeader.CONNECTION, "close");
+    }
+    return refuse(x, failure);
+  }
+
   @SuppressWarnings("try") // The log context only has to be closed.
   private boolean refuse(Exchange x, Failure failure) {
     admission.refused(failure);
--- a/org.cowslipyoke.test/src/test/java/org/cowslipyoke/daemon/entry/EntryHttpTest.java
+++ b/org.cowslipyoke.test/src/test/java/org/cowslipyoke/daemon/entry/EntryHttpTest.java
@@ -113,6 +113,13 @@
     assertTrue(is(entry.chat("alpha", BODY, "Last-Event-ID", "2"), ErrorKind.INVALID_REQUEST));
   }
 
+  /** Guards against a connection that a caller reuses and that the entry closes meanwhile. */
+  @Test
+  void refusalBeforeTheBodyIsReadEndsTheConnection() throws Exception {
+    HttpResponse<String> r = entry.chat("nobody", BODY);
+    assertEquals("close", r.headers().firstValue("Connection").orElse(""));
+  }
+
   @Test
   void rateLimitNamesTimeToWait() throws Exception {
     assertEquals(200, entry.chat("small", BODY).statusCode());
