Remove dead code of the relay and look held parts up once

KeptParts asked for the held parts again for each part without a source; CallerSide had an unused method; EventSplitter found the same line twice. Behaviour is unchanged. Run: EarlyRefusalTest, PromptPlacementTest, RelayHttpTest.

--- a/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/CallerSide.java
+++ b/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/CallerSide.java
@@ -62,11 +62,6 @@
     }
   }
 
-  /** Returns whether the answer has ended or was given up. */
-  boolean isDone() {
-    return done.get();
-  }
-
   /** Sends a whole answer. */
   void whole(int status, HttpFields headers, byte[] body) {
     if (!done.compareAndSet(false, true)) {
--- a/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/EventSplitter.java
+++ b/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/EventSplitter.java
@@ -3,6 +3,7 @@
 import java.io.ByteArrayOutputStream;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -27,7 +28,7 @@
     if (end == 0) {
       return new byte[0];
     }
-    byte[] whole = java.util.Arrays.copyOf(all, end);
+    byte[] whole = Arrays.copyOf(all, end);
     open.reset();
     open.write(all, end, all.length - end);
     noteIds(whole);
@@ -60,9 +61,7 @@
 
   private void noteIds(byte[] events) {
     String text = new String(events, StandardCharsets.ISO_8859_1);
-    int at = text.startsWith("id:") ? 0 : text.lastIndexOf("\nid:") + 1;
-    int last = text.lastIndexOf("\nid:") + 1;
-    int start = Math.max(at, last);
+    int start = text.lastIndexOf("\nid:") + 1;
     if (text.startsWith("id:", start)) {
       int end = text.indexOf('\n', start);
       lastId = text.substring(start + 3, end < 0 ? text.length() : end).trim();
--- a/org.cowslipyoke/src/main/java/org/cowslipyoke/relay/KeptParts.java
+++ b/org.cowslipyoke/src/main/java/org/cowslipyoke/relay/KeptParts.java
@@ -73,13 +73,14 @@
       List<BackendServer> engines,
       List<CacheStore> stores,
       String salt,
-      Prompt p) {
+      Prompt p,
+      int heldParts) {
     List<String> sources = new ArrayList<>(Collections.nCopies(p.parts().size(), ""));
     for (int i = 0; i < p.parts().size() - 1; i++) {
       Part part = p.parts().get(i);
       CacheContents.Key key = new CacheContents.Key(salt, part.id());
       Optional<String> source = source(server, engines, stores, key, part.tokens());
-      if (source.isEmpty() && i >= heldAt(server, salt, p).heldParts()) {
+      if (source.isEmpty() && i >= heldParts) {
         return sources;
       }
       sources.set(i, source.orElse(""));
--- a/org.cowslipyoke/src/main/java/org/cowslipyoke/relay/PromptPlacement.java
+++ b/org.cowslipyoke/src/main/java/org/cowslipyoke/relay/PromptPlacement.java
@@ -179,7 +179,10 @@
                 .toList();
     boolean managed = group.engine() != null && group.engine().managedCache();
     List<String> none = p.parts().stream().map(x -> "").toList();
-    List<String> sources = managed ? kept.sources(o.server(), candidates, stores, salt, p) : none;
+    List<String> sources =
+        managed
+            ? kept.sources(o.server(), candidates, stores, salt, p, o.held().heldParts())
+            : none;
     int fetched = 0;
     for (int i = o.held().heldParts(); i < sources.size(); i++) {
       fetched += sources.get(i).isEmpty() ? 0 : p.parts().get(i).tokens();
