Share the work at servers between entries and model the engine's memory

Cause: an entry knew only its own work at a server and took the others to have as much, spread evenly.

Change: entries tell each other every 80 ms, by datagrams of MessagePack, what work they have at each server. The expected time to the first token adds the steps of the batch, fetches, and the wait for memory, which counts a shared prefix once and the answer length that the caller expects. One line a prompt states the expected and the real time.

--- a/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/Relay.java
+++ b/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/Relay.java
@@ -12,6 +12,7 @@
 import org.cowslipyoke.relay.CacheDirectory;
 import org.cowslipyoke.relay.ColdShare;
 import org.cowslipyoke.relay.KeptParts;
+import org.cowslipyoke.relay.PeerLoads;
 import org.cowslipyoke.relay.PromptPlacement;
 import org.cowslipyoke.relay.RepeatBudget;
 import org.cowslipyoke.relay.ServerLoads;
@@ -89,6 +90,7 @@
       StateHolder state,
       CacheDirectory caches,
       ServerLoads loads,
+      PeerLoads peers,
       RelayDialect dialect,
       MeterRegistry meters,
       QueuedThreadPool threads,
@@ -108,7 +110,8 @@
             dialect,
             state,
             new Admission(state, o.keyMaxAgeMs()),
-            new PromptPlacement(clock, loads, caches, new KeptParts(caches), o.oldWeightsMaxMs()),
+            new PromptPlacement(
+                clock, loads, peers, caches, new KeptParts(caches), o.oldWeightsMaxMs()),
             new ServicePlacement(loads, o.failureDomain(), random),
             loads,
             new ColdShare(clock),
--- a/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/RelayAttempt.java
+++ b/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/RelayAttempt.java
@@ -4,10 +4,13 @@
 import java.nio.ByteBuffer;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
 import org.cowslipyoke.daemon.relay.RelayDialect.AnswerHead;
 import org.cowslipyoke.relay.AttemptEnd;
 import org.cowslipyoke.relay.BackendServer;
 import org.cowslipyoke.relay.PromptPlan;
+import org.cowslipyoke.relay.PromptWork;
 import org.cowslipyoke.relay.ServerLoad;
 import org.eclipse.jetty.client.BytesRequestContent;
 import org.eclipse.jetty.client.Request;
@@ -22,6 +25,8 @@
  */
 final class RelayAttempt implements Response.Listener {
 
+  private static final Logger LOG = LogManager.getLogger(RelayAttempt.class);
+
   /** Largest answer that is kept until it is whole; larger ones than callers of today get. */
   private static final int MAX_ANSWER_BYTES = 4 << 20;
 
@@ -31,6 +36,7 @@
   private final RelayExchange exchange;
   private final BackendServer server;
   private final @Nullable PromptPlan plan;
+  private final PromptWork work;
   private final ServerLoad load;
   private final EventSplitter events = new EventSplitter();
   private final ByteArrayOutputStream whole = new ByteArrayOutputStream();
@@ -49,6 +55,7 @@
     this.exchange = exchange;
     this.server = server;
     this.plan = plan;
+    this.work = plan == null ? PromptWork.NONE : plan.work();
     this.load = exchange.services().loads().of(server);
     this.startMs = exchange.services().clock().nowMs();
   }
@@ -71,7 +78,7 @@
 
   /** Sends the request. */
   void send() {
-    load.begin(plan == null ? 0 : plan.unreadTokens(), plan == null ? 0 : plan.residentTokens());
+    load.begin(work);
     HttpFields out =
         exchange
             .services()
@@ -169,8 +176,21 @@
 
   private void noteFirstAnswer() {
     long ms = exchange.services().clock().nowMs() - startMs;
-    load.promptRead(plan == null ? 0 : plan.unreadTokens());
+    load.promptRead(work);
     exchange.services().metrics().answered(exchange.service(), ms);
+    if (plan != null) {
+      LOG.info(
+          "first token: request={} server={} tookMs={} expectedMs={} unread={} engineUnread={}"
+              + " engineResident={} engineRunning={}",
+          exchange.request().id(),
+          server.id(),
+          ms,
+          Math.round(plan.estimateMs()),
+          work.unreadTokens(),
+          plan.load().unreadTokens(),
+          plan.load().residentTokens(),
+          plan.load().inFlight());
+    }
   }
 
   @Override
@@ -180,9 +200,15 @@
     }
     ended = true;
     if (!promptRead) {
-      load.promptRead(plan == null ? 0 : plan.unreadTokens());
+      load.promptRead(work);
+    }
+    load.end(work);
+    if (plan != null && promptRead) {
+      exchange
+          .services()
+          .loads()
+          .left(work.ownTokens(), exchange.services().clock().nowMs() - startMs);
     }
-    load.end(plan == null ? 0 : plan.residentTokens());
     AnswerHead h = head;
     if (result.isFailed() || h == null) {
       broken(shortened(result.getFailure()));
--- /dev/null
+++ b/org.cowslipyoke.test/src/test/java/org/cowslipyoke/daemon/relay/LoadExchangeTest.java
@@ -0,0 +1,85 @@
+package org.cowslipyoke.daemon.relay;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.net.DatagramPacket;
+import java.net.DatagramSocket;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import org.cowslipyoke.relay.BackendServer;
+import org.cowslipyoke.relay.PeerLoads;
+import org.cowslipyoke.relay.PeerLoads.Load;
+import org.cowslipyoke.relay.PromptWork;
+import org.cowslipyoke.relay.ServerLoads;
+import org.cowslipyoke.util.Clock;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+class LoadExchangeTest {
+
+  private static final long DEADLINE_MS = 10_000;
+  private static final BackendServer SERVER =
+      new BackendServer("s1", 1, "g", "127.0.0.1", 80, "d1", false, 0, 8, Map.of());
+
+  private final Clock clock = Clock.system();
+  private final ScheduledExecutorService timers = Executors.newScheduledThreadPool(1);
+  private final ServerLoads loads1 = new ServerLoads(clock);
+  private final PeerLoads peers1 = new PeerLoads(clock);
+  private final PeerLoads peers2 = new PeerLoads(clock);
+  private final LoadExchange e1 = exchange("e1", loads1, peers1);
+  private final LoadExchange e2 = exchange("e2", new ServerLoads(clock), peers2);
+
+  private LoadExchange exchange(String vm, ServerLoads loads, PeerLoads peers) {
+    return new LoadExchange(
+        clock, vm, new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), loads, peers);
+  }
+
+  @AfterEach
+  void close() {
+    e1.close();
+    e2.close();
+    timers.shutdownNow();
+  }
+
+  private void awaitLoad(PeerLoads peers, Load wanted) throws InterruptedException {
+    long endMs = clock.nowMs() + DEADLINE_MS;
+    while (!peers.at(SERVER).equals(wanted) && clock.nowMs() < endMs) {
+      Thread.sleep(5);
+    }
+    assertEquals(wanted, peers.at(SERVER));
+  }
+
+  @Test
+  void entriesLearnOfEachOthersWork() throws Exception {
+    e1.setPeers(List.of(e2.address()));
+    e2.setPeers(List.of(e1.address()));
+    e1.start(timers);
+    e2.start(timers);
+    PromptWork work = new PromptWork(100, 900, List.of());
+    loads1.of(SERVER).begin(work);
+    awaitLoad(peers2, new Load(1, 100, 900));
+    loads1.of(SERVER).promptRead(work);
+    loads1.of(SERVER).end(work);
+    awaitLoad(peers2, Load.NONE);
+    assertEquals(Load.NONE, peers1.at(SERVER));
+  }
+
+  /** Guards against a receiver that ends because somebody sent it bytes. */
+  @Test
+  void otherDatagramsDoNotStopTheReceiver() throws Exception {
+    e1.setPeers(List.of(e2.address()));
+    e2.setPeers(List.of(e1.address()));
+    e2.start(timers);
+    try (DatagramSocket other = new DatagramSocket()) {
+      other.send(new DatagramPacket(new byte[] {1, 2, 3}, 3, e2.address()));
+      other.send(new DatagramPacket(new byte[0], 0, e2.address()));
+    }
+    loads1.of(SERVER).begin(new PromptWork(100, 900, List.of()));
+    e1.send();
+    awaitLoad(peers2, new Load(1, 100, 900));
+  }
+}
--- /dev/null
+++ b/org.cowslipyoke.test/src/test/java/org/cowslipyoke/relay/EngineModelTest.java
@@ -0,0 +1,65 @@
+package org.cowslipyoke.relay;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import org.cowslipyoke.fake.ManualClock;
+import org.cowslipyoke.relay.PeerLoads.Load;
+import org.junit.jupiter.api.Test;
+
+class EngineModelTest {
+
+  private static final long CAPACITY = 64_000;
+
+  @Test
+  void readingSlowsWithTheBatch() {
+    double idle = EngineModel.readMs(9_190, 0);
+    double busy = EngineModel.readMs(9_190, 60);
+    assertTrue(idle > 9_190 / 74.8, "the steps themselves take time");
+    assertEquals(9_190 * 60 * EngineModel.STEP_MS_PER_REQUEST / 1_024, busy - idle, 0.001);
+  }
+
+  @Test
+  void promptThatFitsDoesNotWaitForMemory() {
+    assertEquals(0, EngineModel.memoryWaitMs(new Load(20, 0, 50_000), 9_000, CAPACITY, 2_000));
+    assertEquals(0, EngineModel.memoryWaitMs(Load.NONE, 70_000, CAPACITY, 2_000));
+  }
+
+  @Test
+  void waitGrowsWithWhatDoesNotFit() {
+    Load full = new Load(40, 0, 60_800);
+    assertEquals(250, EngineModel.memoryWaitMs(full, 7_600, CAPACITY, 2_000), 1);
+    assertEquals(2_000, EngineModel.memoryWaitMs(full, 200_000, CAPACITY, 2_000), 1);
+  }
+
+  /** Guards against counting a prefix once for each request: engines keep it once. */
+  @Test
+  void sharedPartsCountOnce() {
+    ServerLoad load = new ServerLoad(new ManualClock());
+    Prompt p = RelayFixture.prompt("org", "doc");
+    PromptWork work = PromptWork.of(p, "salt", 1_000);
+    assertEquals(9_050, load.addedTokens(work));
+    load.begin(work);
+    assertEquals(1_050, load.addedTokens(work));
+    load.begin(work);
+    assertEquals(10_100, load.residentTokens());
+    assertEquals(9_050, load.addedTokens(PromptWork.of(p, "other weights", 1_000)));
+    load.end(work);
+    assertEquals(9_050, load.residentTokens());
+    load.end(work);
+    assertEquals(0, load.residentTokens());
+  }
+
+  @Test
+  void residenceIsTheMeanOverTokens() {
+    ServerLoads loads = new ServerLoads(new ManualClock());
+    assertEquals(ServerLoads.FIRST_RESIDENCE_MS, loads.residenceMs());
+    for (int i = 0; i < 1_000; i++) {
+      loads.left(9_000, 1_000);
+      loads.left(1_000, 5_000);
+    }
+    assertEquals(1_400, loads.residenceMs(), 60);
+    assertEquals(List.of(), List.copyOf(loads.snapshot().keySet()));
+  }
+}
--- /dev/null
+++ b/org.cowslipyoke.test/src/test/java/org/cowslipyoke/transport/LoadReportCodecTest.java
@@ -0,0 +1,66 @@
+package org.cowslipyoke.transport;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.Arrays;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Random;
+import org.cowslipyoke.relay.PeerLoads.Load;
+import org.cowslipyoke.relay.PeerLoads.Report;
+import org.cowslipyoke.util.MalformedAnswerException;
+import org.junit.jupiter.api.Test;
+
+class LoadReportCodecTest {
+
+  private static final Report REPORT =
+      new Report("e1", 5, 7, Map.of("s1@1", new Load(3, 9_000, 40_000)));
+
+  @Test
+  void reportsSurviveTheirDatagram() throws Exception {
+    byte[] bytes = LoadReportCodec.encode(REPORT);
+    assertEquals(REPORT, LoadReportCodec.decode(bytes, bytes.length));
+  }
+
+  /** Guards against a datagram that is larger than what the receiver reads. */
+  @Test
+  void largestReportFitsAndKeepsTheBusiestServers() throws Exception {
+    Map<String, Load> loads = new HashMap<>();
+    for (int i = 0; i < 3_100; i++) {
+      loads.put("i-0123456789@1767844358695-" + i, new Load(i, Integer.MAX_VALUE, 70_000L + i));
+    }
+    byte[] bytes = LoadReportCodec.encode(new Report("entry", 1, 1, loads));
+    assertTrue(bytes.length <= LoadReportCodec.MAX_BYTES, bytes.length + " bytes");
+    Report r = LoadReportCodec.decode(bytes, bytes.length);
+    assertEquals(LoadReportCodec.MAX_SERVERS, r.loads().size());
+    assertTrue(r.loads().containsKey("i-0123456789@1767844358695-3099"));
+    assertFalse(r.loads().containsKey("i-0123456789@1767844358695-0"));
+  }
+
+  /** Guards against a receiver that ends because of bytes that are no report. */
+  @Test
+  void otherBytesAreMalformed() {
+    byte[] good = LoadReportCodec.encode(REPORT);
+    for (int n = 0; n < good.length; n++) {
+      int length = n;
+      assertThrows(
+          MalformedAnswerException.class,
+          () -> LoadReportCodec.decode(good, length),
+          "length " + n);
+    }
+    long seed = 42;
+    Random random = new Random(seed);
+    for (int i = 0; i < 10_000; i++) {
+      byte[] bytes = Arrays.copyOf(good, good.length);
+      bytes[random.nextInt(bytes.length)] = (byte) random.nextInt();
+      try {
+        LoadReportCodec.decode(bytes, bytes.length);
+      } catch (MalformedAnswerException e) {
+        assertFalse(String.valueOf(e.getMessage()).isEmpty());
+      }
+    }
+  }
+}
--- /dev/null
+++ b/org.cowslipyoke.transport/src/main/java/org/cowslipyoke/transport/LoadReportCodec.java
@@ -0,0 +1,86 @@
+package org.cowslipyoke.transport;
+
+import java.io.IOException;
+import java.util.HashMap;
+import java.util.Map;
+import org.cowslipyoke.relay.PeerLoads.Load;
+import org.cowslipyoke.relay.PeerLoads.Report;
+import org.cowslipyoke.util.MalformedAnswerException;
+import org.msgpack.core.MessageBufferPacker;
+import org.msgpack.core.MessagePack;
+import org.msgpack.core.MessagePackException;
+import org.msgpack.core.MessageUnpacker;
+
+/**
+ * A report of loads as one datagram: the array [format, vm, started, sequence, loads], where loads
+ * is a map from a server's incarnation to [in flight, unread tokens, resident tokens].
+ */
+public final class LoadReportCodec {
+
+  /** Largest datagram, in bytes. */
+  public static final int MAX_BYTES = 16_384;
+
+  /** Servers in one report; their entries fit {@link #MAX_BYTES}. */
+  static final int MAX_SERVERS = 200;
+
+  private static final int FORMAT = 1;
+  private static final int FIELDS = 5;
+
+  private LoadReportCodec() {}
+
+  /** Encodes a report; servers above the bound are left out, those with the least work first. */
+  public static byte[] encode(Report r) {
+    try (MessageBufferPacker p = MessagePack.newDefaultBufferPacker()) {
+      p.packArrayHeader(FIELDS).packInt(FORMAT).packString(r.vm());
+      p.packLong(r.startedMs()).packLong(r.sequence());
+      p.packMapHeader(Math.min(MAX_SERVERS, r.loads().size()));
+      var busiest =
+          r.loads().entrySet().stream()
+              .sorted(
+                  (a, b) ->
+                      Long.compare(b.getValue().residentTokens(), a.getValue().residentTokens()))
+              .limit(MAX_SERVERS)
+              .toList();
+      for (var e : busiest) {
+        p.packString(e.getKey());
+        p.packArrayHeader(3).packInt(e.getValue().inFlight());
+        p.packLong(e.getValue().unreadTokens()).packLong(e.getValue().residentTokens());
+      }
+      return p.toByteArray();
+    } catch (IOException e) {
+      throw new IllegalStateException("a buffer in memory can't be written", e);
+    }
+  }
+
+  /**
+   * Decodes a datagram.
+   *
+   * @throws MalformedAnswerException if it is no report of this format
+   */
+  public static Report decode(byte[] bytes, int length) throws MalformedAnswerException {
+    try (MessageUnpacker u = MessagePack.newDefaultUnpacker(bytes, 0, length)) {
+      FieldReader f = new FieldReader(u, length);
+      if (f.header() != FIELDS || f.count() != FORMAT) {
+        throw new MalformedAnswerException("unknown format of a load report");
+      }
+      String vm = f.name();
+      long startedMs = f.size();
+      long sequence = f.size();
+      int servers = u.unpackMapHeader();
+      if (servers > MAX_SERVERS) {
+        throw new MalformedAnswerException("too many servers in a load report: " + servers);
+      }
+      Map<String, Load> loads = new HashMap<>();
+      for (int i = 0; i < servers; i++) {
+        String incarnation = f.name();
+        if (f.header() != 3) {
+          throw new MalformedAnswerException("malformed load of " + incarnation);
+        }
+        loads.put(incarnation, new Load(f.count(), f.size(), f.size()));
+      }
+      return new Report(vm, startedMs, sequence, Map.copyOf(loads));
+    } catch (IOException | MessagePackException e) {
+      throw new MalformedAnswerException("load report not decoded: " + e);
+    }
+  }
+}
--- a/org.cowslipyoke/src/main/java/org/cowslipyoke/relay/KeptParts.java
+++ b/org.cowslipyoke/src/main/java/org/cowslipyoke/relay/KeptParts.java
@@ -10,6 +10,7 @@
 import java.util.Optional;
 import org.cowslipyoke.relay.Prompt.Part;
 import org.cowslipyoke.util.Rendezvous;
+import org.jspecify.annotations.Nullable;
 
 /**
  * Decides where the parts of a prompt are fetched from and which store keeps them. Answers for
@@ -88,6 +89,20 @@
     return sources;
   }
 
+  /** Returns the number of leading parts that some engine or store holds, but for the last part. */
+  int fetchable(List<BackendServer> engines, List<CacheStore> stores, String salt, Prompt p) {
+    int parts = 0;
+    while (parts < p.parts().size() - 1) {
+      Part part = p.parts().get(parts);
+      CacheContents.Key key = new CacheContents.Key(salt, part.id());
+      if (source(null, engines, stores, key, part.tokens()).isEmpty()) {
+        break;
+      }
+      parts++;
+    }
+    return parts;
+  }
+
   /** Returns for each part the store to save it to, empty for none. */
   List<String> targets(List<CacheStore> stores, String salt, Prompt p) {
     List<String> targets = new ArrayList<>(Collections.nCopies(p.parts().size(), ""));
@@ -106,13 +121,13 @@
   }
 
   private Optional<String> source(
-      BackendServer server,
+      @Nullable BackendServer server,
       List<BackendServer> engines,
       List<CacheStore> stores,
       CacheContents.Key key,
       int tokens) {
     for (BackendServer e : engines) {
-      boolean other = !e.incarnation().equals(server.incarnation());
+      boolean other = server == null || !e.incarnation().equals(server.incarnation());
       if (other && directory.tokens(e.address(), key) >= tokens - BLOCK_TOKENS + 1) {
         return Optional.of(e.address());
       }
--- a/org.cowslipyoke/src/main/java/org/cowslipyoke/relay/PromptPlacement.java
+++ b/org.cowslipyoke/src/main/java/org/cowslipyoke/relay/PromptPlacement.java
@@ -2,9 +2,12 @@
 
 import java.nio.charset.StandardCharsets;
 import java.util.Comparator;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import org.cowslipyoke.relay.KeptParts.Held;
+import org.cowslipyoke.relay.PeerLoads.Load;
 import org.cowslipyoke.relay.Prompt.Part;
 import org.cowslipyoke.util.Clock;
 import org.cowslipyoke.util.Rendezvous;
@@ -17,23 +20,14 @@
  */
 public final class PromptPlacement {
 
-  /** Prompt tokens that an engine reads in a millisecond; from the sheets of both users. */
-  static final double READ_TOKENS_PER_MS = 74.8;
-
-  /** Expected cost of a request that runs beside others, in ms: its tokens share each step. */
-  static final double RUNNING_MS = 1.5;
-
   /**
    * Cost of a place further down in the hash order, in milliseconds. Below the time to read a small
    * part, so it only decides between servers that are otherwise alike.
    */
   static final double RANK_MS = 2;
 
-  /** Part of an engine's memory that running requests may fill before newer ones are preempted. */
-  static final double MEMORY_PART = 0.85;
-
-  /** Expected wait where the memory is full, in milliseconds: until a run ends. */
-  static final double MEMORY_FULL_MS = 400;
+  /** Cost of a refusal for lack of room a moment ago, in milliseconds. */
+  static final double FULL_MS = 400;
 
   /** Cost of a recent failure, in milliseconds. */
   static final double TROUBLE_MS = 300;
@@ -44,11 +38,15 @@
   /** Cost of weights that are to be replaced, in milliseconds; above any gain from kept parts. */
   static final double OLD_WEIGHTS_MS = 250;
 
+  /** Transfers take twice as long between failure domains; the platform states it. */
+  static final double OTHER_DOMAIN_FACTOR = 2;
+
   /** Time after which a server that gave no sign to its reader is avoided, in milliseconds. */
   static final double SILENT_MS = 2_000;
 
   private final Clock clock;
   private final ServerLoads loads;
+  private final PeerLoads peers;
   private final CacheDirectory directory;
   private final KeptParts kept;
   private final long oldWeightsMaxMs;
@@ -61,32 +59,28 @@
   public PromptPlacement(
       Clock clock,
       ServerLoads loads,
+      PeerLoads peers,
       CacheDirectory directory,
       KeptParts kept,
       long oldWeightsMaxMs) {
     this.clock = clock;
     this.loads = loads;
+    this.peers = peers;
     this.directory = directory;
     this.kept = kept;
     this.oldWeightsMaxMs = oldWeightsMaxMs;
   }
 
-  /**
-   * Work of the other entries at one server. They are taken to have as much as this one, spread
-   * over all servers: what this entry has at one server says nothing about what they have there.
-   */
-  private record Others(double unreadTokens, double residentTokens) {}
-
-  private Others others(FleetState state, List<BackendServer> candidates) {
-    double unread = 0;
-    double resident = 0;
-    for (BackendServer s : candidates) {
-      unread += loads.of(s).unreadTokens();
-      resident += loads.of(s).residentTokens();
-    }
-    double part = (state.entries() - 1.0) / Math.max(1, candidates.size());
-    return new Others(unread * part, resident * part);
-  }
+  /** What the placement of one prompt looks at. */
+  private record Question(
+      Prompt prompt,
+      @Nullable Tenancy tenancy,
+      FleetState state,
+      ServerGroup group,
+      List<BackendServer> candidates,
+      FleetLoad load,
+      List<CacheStore> stores,
+      Map<String, Integer> fetchableBySalt) {}
 
   /**
    * A server that could take the prompt.
@@ -95,7 +89,14 @@
    * @param costMs the same with what speaks against the server but delays no request for sure
    */
   private record Option(
-      BackendServer server, int weights, Held held, double expectedMs, double costMs) {}
+      BackendServer server,
+      int weights,
+      String salt,
+      Held held,
+      PromptWork work,
+      Load load,
+      double expectedMs,
+      double costMs) {}
 
   /** Chooses a server, or none if no candidate holds weights that may be used. */
   public Optional<PromptPlan> choose(
@@ -110,17 +111,35 @@
             candidates,
             BackendServer::id,
             candidates.size());
-    Others others = others(state, candidates);
+    Question q =
+        new Question(
+            p,
+            tenancy,
+            state,
+            group,
+            candidates,
+            FleetLoad.of(loads, peers, candidates, state.entries()),
+            managedStores(state, group),
+            new HashMap<>());
     Option best = null;
     for (int rank = 0; rank < order.size(); rank++) {
-      Option o = option(p, tenancy, state, group, others, order.get(rank), rank);
+      Option o = option(q, order.get(rank), rank);
       if (o != null && (best == null || o.costMs() < best.costMs())) {
         best = o;
       }
     }
-    return best == null
-        ? Optional.empty()
-        : Optional.of(plan(p, tenancy, state, group, candidates, best));
+    return best == null ? Optional.empty() : Optional.of(plan(q, best));
+  }
+
+  /** Returns the stores whose parts are named one by one, the fastest first. */
+  private static List<CacheStore> managedStores(FleetState state, ServerGroup group) {
+    if (state.desired() == null || group.engine() == null || !group.engine().managedCache()) {
+      return List.of();
+    }
+    return state.desired().stores().stream()
+        .filter(CacheStore::managed)
+        .sorted(Comparator.comparingDouble(s -> -s.linkMbps()))
+        .toList();
   }
 
   /** Returns the text under which parts are shared: by weights, and by organisation if walled. */
@@ -129,82 +148,82 @@
     return tenancy != null && tenancy.walled() ? shared + "." + tenancy.organisation() : shared;
   }
 
-  private @Nullable Option option(
-      Prompt p,
-      @Nullable Tenancy tenancy,
-      FleetState state,
-      ServerGroup group,
-      Others others,
-      BackendServer server,
-      int rank) {
+  private @Nullable Option option(Question q, BackendServer server, int rank) {
+    Prompt p = q.prompt();
     Integer listed = server.weights(p.model());
     if (listed == null) {
       return null;
     }
-    ServerLoad load = loads.of(server);
-    int weights = Math.max(listed, load.weights());
-    WeightTarget target = state.targets().get(p.model());
+    ServerLoad own = loads.of(server);
+    int weights = Math.max(listed, own.weights());
+    WeightTarget target = q.state().targets().get(p.model());
     boolean old = target != null && weights < target.version();
     if (target != null && old && target.isFinal(clock.nowMs(), oldWeightsMaxMs)) {
       return null;
     }
-    Held held = kept.heldAt(server, salt(p.model(), weights, tenancy), p);
-    double expected = (p.promptTokens() - held.heldTokens()) / READ_TOKENS_PER_MS;
-    expected += (load.unreadTokens() + others.unreadTokens()) / READ_TOKENS_PER_MS;
-    expected += RUNNING_MS * load.inFlight();
-    expected += load.isLoading() ? LOADING_MS : 0;
+    String salt = salt(p.model(), weights, q.tenancy());
+    Held held = kept.heldAt(server, salt, p);
+    int fetched = fetchedTokens(q, salt, held);
+    int unread = Math.max(1, p.promptTokens() - held.heldTokens() - fetched);
+    Load load = q.load().at(server);
+    double expected = EngineModel.FIRST_TOKEN_MS;
+    expected += EngineModel.readMs(load.unreadTokens() + unread, load.inFlight());
+    expected += fetched * fetchMsPerToken(q);
+    PromptWork work = PromptWork.of(p, salt, unread);
+    expected += memoryWaitMs(q, load, own.addedTokens(work));
+    expected += own.isLoading() ? LOADING_MS : 0;
     expected += directory.isSilent(server.address()) ? SILENT_MS : 0;
-    double resident = load.residentTokens() + others.residentTokens();
-    double cost = expected + memoryCost(group, resident + p.promptTokens());
-    cost += TROUBLE_MS * load.recentTrouble() + RANK_MS * rank;
+    double cost = expected + TROUBLE_MS * own.recentTrouble() + RANK_MS * rank;
     cost += old ? OLD_WEIGHTS_MS : 0;
-    cost += load.isFull() ? MEMORY_FULL_MS : 0;
-    return new Option(server, weights, held, expected, cost);
+    cost += own.isFull() ? FULL_MS : 0;
+    return new Option(server, weights, salt, held, work, load, expected, cost);
   }
 
-  private PromptPlan plan(
-      Prompt p,
-      @Nullable Tenancy tenancy,
-      FleetState state,
-      ServerGroup group,
-      List<BackendServer> candidates,
-      Option o) {
-    String salt = salt(p.model(), o.weights(), tenancy);
-    List<CacheStore> stores =
-        state.desired() == null
-            ? List.of()
-            : state.desired().stores().stream()
-                .filter(CacheStore::managed)
-                .sorted(Comparator.comparingDouble(s -> -s.linkMbps()))
-                .toList();
-    boolean managed = group.engine() != null && group.engine().managedCache();
-    List<String> none = p.parts().stream().map(x -> "").toList();
-    List<String> sources =
-        managed
-            ? kept.sources(o.server(), candidates, stores, salt, p, o.held().heldParts())
-            : none;
-    int fetched = 0;
-    for (int i = o.held().heldParts(); i < sources.size(); i++) {
-      fetched += sources.get(i).isEmpty() ? 0 : p.parts().get(i).tokens();
+  private double memoryWaitMs(Question q, Load load, long tokens) {
+    long capacity = q.group().engine() == null ? 0 : q.group().engine().cacheTokens();
+    return EngineModel.memoryWaitMs(load, tokens, capacity, loads.residenceMs());
+  }
+
+  /** Returns the tokens after the held parts that can be fetched from an engine or a store. */
+  private int fetchedTokens(Question q, String salt, Held held) {
+    if (q.group().engine() == null || !q.group().engine().managedCache()) {
+      return 0;
+    }
+    int parts =
+        q.fetchableBySalt()
+            .computeIfAbsent(salt, s -> kept.fetchable(q.candidates(), q.stores(), s, q.prompt()));
+    int tokens = 0;
+    for (int i = held.heldParts(); i < parts; i++) {
+      tokens += q.prompt().parts().get(i).tokens();
     }
-    int unread = Math.max(1, p.promptTokens() - o.held().heldTokens() - fetched);
+    return tokens;
+  }
+
+  /** Time to fetch a token from the slowest store in another failure domain. */
+  private static double fetchMsPerToken(Question q) {
+    ServerGroup.Engine engine = q.group().engine();
+    double slowest = q.stores().stream().mapToDouble(CacheStore::linkMbps).min().orElse(0);
+    return engine == null || slowest <= 0
+        ? 0
+        : engine.bytesPerToken() * 8.0 / (slowest * 1_000) * OTHER_DOMAIN_FACTOR;
+  }
+
+  private PromptPlan plan(Question q, Option o) {
+    Prompt p = q.prompt();
+    List<String> none = p.parts().stream().map(x -> "").toList();
+    boolean managed = q.group().engine() != null && q.group().engine().managedCache();
     return new PromptPlan(
         o.server(),
         o.weights(),
-        salt,
-        unread,
-        (long) p.promptTokens() + p.answerTokens(),
+        o.salt(),
+        o.work(),
         o.expectedMs(),
-        sources,
-        managed ? kept.targets(stores, salt, p) : none);
-  }
-
-  private static double memoryCost(ServerGroup group, double resident) {
-    if (group.engine() == null) {
-      return 0;
-    }
-    double limit = MEMORY_PART * group.engine().cacheTokens();
-    return resident > limit ? MEMORY_FULL_MS * resident / limit : 0;
+        o.load(),
+        managed
+            ? kept.sources(
+                o.server(), q.candidates(), q.stores(), o.salt(), p, o.held().heldParts())
+            : none,
+        managed ? kept.targets(q.stores(), o.salt(), p) : none);
   }
 
   /** The last part belongs to the request, so the one before it names what prompts share. */
--- a/org.cowslipyoke/src/main/java/org/cowslipyoke/relay/ServerLoad.java
+++ b/org.cowslipyoke/src/main/java/org/cowslipyoke/relay/ServerLoad.java
@@ -1,5 +1,8 @@
 package org.cowslipyoke.relay;
 
+import java.util.HashMap;
+import java.util.Map;
+import org.cowslipyoke.relay.PeerLoads.Load;
 import org.cowslipyoke.util.Clock;
 
 /**
@@ -24,6 +27,7 @@
   private int inFlight;
   private long unreadTokens;
   private long residentTokens;
+  private final Map<CacheContents.Key, Integer> users = new HashMap<>();
   private double trouble;
   private long troubleMs;
   private long fullUntilMs;
@@ -37,27 +41,39 @@
     this.loadingUntilMs = clock.nowMs();
   }
 
-  /**
-   * Records that a request is handed to the server.
-   *
-   * @param unread prompt tokens that the server has to read
-   * @param resident tokens that the request keeps in the server's memory
-   */
-  public synchronized void begin(long unread, long resident) {
+  /** Records that a request is handed to the server. */
+  public synchronized void begin(PromptWork work) {
+    residentTokens += addedTokens(work);
     inFlight++;
-    unreadTokens += unread;
-    residentTokens += resident;
+    unreadTokens += work.unreadTokens();
+    for (PromptWork.Shared s : work.shared()) {
+      users.merge(s.key(), 1, Integer::sum);
+    }
+  }
+
+  /** Returns the tokens that a request would add to the server's memory. */
+  synchronized long addedTokens(PromptWork work) {
+    long added = work.ownTokens();
+    for (PromptWork.Shared s : work.shared()) {
+      added += users.containsKey(s.key()) ? 0 : s.tokens();
+    }
+    return added;
   }
 
   /** Records that the server began to answer, after it read the prompt. */
-  public synchronized void promptRead(long unread) {
-    unreadTokens = Math.max(0, unreadTokens - unread);
+  public synchronized void promptRead(PromptWork work) {
+    unreadTokens = Math.max(0, unreadTokens - work.unreadTokens());
   }
 
   /** Records the end of a request. */
-  public synchronized void end(long resident) {
+  public synchronized void end(PromptWork work) {
     inFlight = Math.max(0, inFlight - 1);
-    residentTokens = Math.max(0, residentTokens - resident);
+    long freed = work.ownTokens();
+    for (PromptWork.Shared s : work.shared()) {
+      Integer left = users.computeIfPresent(s.key(), (k, n) -> n > 1 ? n - 1 : null);
+      freed += left == null ? s.tokens() : 0;
+    }
+    residentTokens = Math.max(0, residentTokens - freed);
   }
 
   /** Records the time of an answer. */
@@ -111,6 +127,11 @@
     return clock.nowMs() < fullUntilMs;
   }
 
+  /** Returns the work of this process at the server. */
+  synchronized Load snapshot() {
+    return new Load(inFlight, unreadTokens, residentTokens);
+  }
+
   /** Returns the requests in flight. */
   public synchronized int inFlight() {
     return inFlight;
--- a/org.cowslipyoke/src/main/java/org/cowslipyoke/relay/ServerLoads.java
+++ b/org.cowslipyoke/src/main/java/org/cowslipyoke/relay/ServerLoads.java
@@ -2,6 +2,9 @@
 
 import com.github.benmanes.caffeine.cache.Cache;
 import com.github.benmanes.caffeine.cache.Caffeine;
+import java.util.HashMap;
+import java.util.Map;
+import org.cowslipyoke.relay.PeerLoads.Load;
 import org.cowslipyoke.util.Clock;
 
 /** The {@link ServerLoad} of each server. */
@@ -10,7 +13,15 @@
   /** Bound of the memory; above the 3,100 servers of the target size with their restarts. */
   private static final int MAX_SERVERS = 8_192;
 
+  /** Mean time for which a token stays before one was seen to leave, in milliseconds. */
+  static final double FIRST_RESIDENCE_MS = 1_500;
+
+  /** Weight of what was seen before when another request ends. */
+  private static final double RESIDENCE_KEPT = 0.98;
+
   private final Clock clock;
+  private double leftTokens;
+  private double leftTokenMs;
   private final Cache<String, ServerLoad> loads =
       Caffeine.newBuilder().maximumSize(MAX_SERVERS).executor(Runnable::run).build();
 
@@ -19,6 +30,32 @@
     this.clock = clock;
   }
 
+  /** Records that a request left an engine's memory. */
+  public synchronized void left(long tokens, long tookMs) {
+    leftTokens = RESIDENCE_KEPT * leftTokens + tokens;
+    leftTokenMs = RESIDENCE_KEPT * leftTokenMs + (double) tokens * tookMs;
+  }
+
+  /** Returns the mean time for which a token stays in an engine's memory, in milliseconds. */
+  public synchronized double residenceMs() {
+    return leftTokens <= 0 ? FIRST_RESIDENCE_MS : leftTokenMs / leftTokens;
+  }
+
+  /** Returns the work of this process by incarnation; servers without work are left out. */
+  public Map<String, Load> snapshot() {
+    Map<String, Load> all = new HashMap<>();
+    loads
+        .asMap()
+        .forEach(
+            (incarnation, l) -> {
+              Load s = l.snapshot();
+              if (!s.equals(Load.NONE)) {
+                all.put(incarnation, s);
+              }
+            });
+    return all;
+  }
+
   /** Returns the load of a server. */
   public ServerLoad of(BackendServer server) {
     return loads.get(server.incarnation(), k -> new ServerLoad(clock));
