Treat an answer that ends with a reset as broken

Cause: Jetty's end point reads a reset connection as one that ended in order.

Change: connections to servers report a reset as a failure, for the relay and for all clients of the platform.

--- a/org.cowslipyoke.http/src/main/java/org/cowslipyoke/http/HttpConnector.java
+++ b/org.cowslipyoke.http/src/main/java/org/cowslipyoke/http/HttpConnector.java
@@ -12,6 +12,7 @@
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.stream.Stream;
 import org.cowslipyoke.http.internal.AnswerCollector;
+import org.cowslipyoke.http.internal.ResetAwareConnector;
 import org.eclipse.jetty.client.AbstractConnectionPool;
 import org.eclipse.jetty.client.BytesRequestContent;
 import org.eclipse.jetty.client.Destination;
@@ -20,6 +21,7 @@
 import org.eclipse.jetty.client.Request;
 import org.eclipse.jetty.client.Response;
 import org.eclipse.jetty.client.Result;
+import org.eclipse.jetty.client.transport.HttpClientTransportOverHTTP;
 import org.eclipse.jetty.http.HttpCookieStore;
 import org.eclipse.jetty.http.HttpField;
 import org.eclipse.jetty.http.HttpHeader;
@@ -136,7 +138,7 @@
    * @throws IllegalStateException if the client does not start
    */
   public static HttpClient startClient(String name, Limits limits, Executor threads, long idleMs) {
-    HttpClient c = new HttpClient();
+    HttpClient c = new HttpClient(new HttpClientTransportOverHTTP(new ResetAwareConnector()));
     c.setExecutor(threads);
     c.setMaxConnectionsPerDestination(limits.maxConnections());
     c.setMaxRequestsQueuedPerDestination(limits.maxQueued());
