Load the oldest weights first and give them up at once after a restart

Change: orders go to the oldest weights first. An entry that finds the named weights in place at a server when it starts sends nothing to older ones.

Both tests fail before the change.

--- a/org.cowslipyoke.test/src/test/java/org/cowslipyoke/relay/PromptPlacementTest.java
+++ b/org.cowslipyoke.test/src/test/java/org/cowslipyoke/relay/PromptPlacementTest.java
@@ -147,6 +147,27 @@
             .isEmpty());
   }
 
+  /**
+   * Guards against old weights after a restart: where a server holds the named ones, they were
+   * named a while ago, and the time for old ones may have passed.
+   */
+  @Test
+  void weightsThatWereFoundInPlaceAreBindingAtOnce() {
+    RelayFixture restarted = new RelayFixture();
+    BackendServer replaced = RelayFixture.server("s2", 2);
+    restarted.load(1, Map.of(RelayFixture.MODEL, 2), s1, replaced, s3);
+    restarted.loads.of(replaced).begin(RelayFixture.work(300_000, 0));
+    FleetState s = restarted.state.get();
+    ServerGroup group =
+        requireNonNull(requireNonNull(s.desired()).groups().get(RelayFixture.GROUP));
+    PromptPlan p =
+        restarted
+            .placement()
+            .choose(RelayFixture.prompt("o", "d"), null, s, group, List.of(s1, replaced, s3))
+            .orElseThrow();
+    assertEquals("s2", p.server().id());
+  }
+
   /**
    * Guards against refusals because of what speaks against a server but delays nothing for sure.
    */
--- a/org.cowslipyoke.test/src/test/java/org/cowslipyoke/relay/WeightRolloutTest.java
+++ b/org.cowslipyoke.test/src/test/java/org/cowslipyoke/relay/WeightRolloutTest.java
@@ -38,6 +38,16 @@
     assertFalse(WeightRollout.isDue(state(2, 2, 2, 2, 2, 2, 2)));
   }
 
+  /**
+   * Guards against servers whose weights are two versions behind being left for last, after the
+   * time in which they may be used has passed.
+   */
+  @Test
+  void oldestWeightsAreReplacedFirst() {
+    List<Order> orders = take(state(3, 2, 2, 1, 1));
+    assertEquals(List.of("s2", "s3"), orders.stream().map(o -> o.server().id()).toList());
+  }
+
   /** Guards against a load of an older version that holds back a newer one. */
   @Test
   void newerVersionIsOrderedAtOnce() {
--- a/org.cowslipyoke/src/main/java/org/cowslipyoke/relay/PromptPlacement.java
+++ b/org.cowslipyoke/src/main/java/org/cowslipyoke/relay/PromptPlacement.java
@@ -150,15 +150,14 @@
 
   private @Nullable Option option(Question q, BackendServer server, int rank) {
     Prompt p = q.prompt();
-    Integer listed = server.weights(p.model());
-    if (listed == null) {
+    int weights = weights(server, p.model());
+    if (weights == 0) {
       return null;
     }
     ServerLoad own = loads.of(server);
-    int weights = Math.max(listed, own.weights());
     WeightTarget target = q.state().targets().get(p.model());
     boolean old = target != null && weights < target.version();
-    if (target != null && old && target.isFinal(clock.nowMs(), oldWeightsMaxMs)) {
+    if (target != null && old && isFinal(q, target)) {
       return null;
     }
     String salt = salt(p.model(), weights, q.tenancy());
@@ -179,6 +178,21 @@
     return new Option(server, weights, salt, held, work, load, expected, cost);
   }
 
+  /** Returns whether older weights than the target must not be used for new requests any more. */
+  private boolean isFinal(Question q, WeightTarget target) {
+    boolean inPlace =
+        target.foundAtStart()
+            && q.candidates().stream()
+                .anyMatch(s -> weights(s, target.model()) >= target.version());
+    return inPlace || target.isFinal(clock.nowMs(), oldWeightsMaxMs);
+  }
+
+  /** Returns the newest version that a server stated, 0 if it does not hold the model. */
+  private int weights(BackendServer server, String model) {
+    Integer listed = server.weights(model);
+    return listed == null ? 0 : Math.max(listed, loads.of(server).weights());
+  }
+
   private double memoryWaitMs(Question q, Load load, long tokens) {
     long capacity = q.group().engine() == null ? 0 : q.group().engine().cacheTokens();
     return EngineModel.memoryWaitMs(load, tokens, capacity, loads.residenceMs());
--- a/org.cowslipyoke/src/main/java/org/cowslipyoke/relay/WeightRollout.java
+++ b/org.cowslipyoke/src/main/java/org/cowslipyoke/relay/WeightRollout.java
@@ -101,18 +101,25 @@
     return Math.max(MIN_AT_ONCE, (int) Math.round(PART_AT_ONCE * servers));
   }
 
-  /** Returns an order for each server whose entry states older weights than were named. */
+  /**
+   * Returns an order for each server whose entry states older weights than were named, those with
+   * the oldest weights first: their time to be used ends first.
+   */
   public static List<Order> behind(FleetState s) {
-    List<Order> behind = new ArrayList<>();
+    record Behind(Order order, int has) {}
+
+    List<Behind> behind = new ArrayList<>();
     for (BackendServer server : s.servers().values()) {
       for (WeightTarget t : s.targets().values()) {
         Integer has = server.weights(t.model());
         if (has != null && has < t.version() && !server.leaving()) {
-          behind.add(new Order(server, t.model(), t.version()));
+          behind.add(new Behind(new Order(server, t.model(), t.version()), has));
         }
       }
     }
-    behind.sort(Comparator.comparing(o -> o.server().id()));
-    return behind;
+    return behind.stream()
+        .sorted(Comparator.comparing(Behind::has).thenComparing(b -> b.order().server().id()))
+        .map(Behind::order)
+        .toList();
   }
 }
