--- a/org.cowslipyoke/src/main/java/org/cowslipyoke/relay/EngineModel.java
+++ b/org.cowslipyoke/src/main/java/org/cowslipyoke/relay/EngineModel.java
@@ -24,8 +24,11 @@
   /** Time to the first token beside reading, in milliseconds; from the site files. */
   static final double FIRST_TOKEN_MS = 70;
 
-  /** Part of the memory that running requests fill before newer ones wait; blocks are coarse. */
-  static final double MEMORY_PART = 0.95;
+  /**
+   * Part of the memory that running requests fill before newer ones wait. All of it: requests of
+   * several entries that share a part count it once each, which is a reserve.
+   */
+  static final double MEMORY_PART = 1.0;
 
   private EngineModel() {}
 
--- a/org.cowslipyoke/src/main/java/org/cowslipyoke/relay/PeerLoads.java
+++ b/org.cowslipyoke/src/main/java/org/cowslipyoke/relay/PeerLoads.java
@@ -11,10 +11,10 @@
 public final class PeerLoads {
 
   /**
-   * Age above which a report is not used, in milliseconds. Four reports of the longest interval of
-   * {@code LoadExchange} at today's largest deployment may be lost.
+   * Age above which a report is not used, in milliseconds. Two reports may be lost at the interval
+   * that {@code LoadExchange} has with the 24 entries of today's largest deployment.
    */
-  static final long MAX_AGE_MS = 1_000;
+  static final long MAX_AGE_MS = 1_500;
 
   /** Peers remembered; above the 400 entries of the target size. */
   private static final int MAX_PEERS = 1_024;
--- a/org.cowslipyoke/src/main/java/org/cowslipyoke/relay/PromptWork.java
+++ b/org.cowslipyoke/src/main/java/org/cowslipyoke/relay/PromptWork.java
@@ -28,7 +28,9 @@
       shared.add(new Shared(new CacheContents.Key(salt, part.id()), part.tokens()));
       sharedTokens += part.tokens();
     }
-    long own = Math.max(0, (long) p.promptTokens() + p.expectedAnswerTokens() - sharedTokens);
+    // The answer grows from nothing, so half of it is there on average.
+    long answer = p.expectedAnswerTokens() / 2;
+    long own = Math.max(0, p.promptTokens() + answer - sharedTokens);
     return new PromptWork(unreadTokens, own, List.copyOf(shared));
   }
 }
--- a/org.cowslipyoke/src/main/java/org/cowslipyoke/relay/ServerGroup.java
+++ b/org.cowslipyoke/src/main/java/org/cowslipyoke/relay/ServerGroup.java
@@ -20,8 +20,14 @@
    * @param cacheTokens tokens that fit its memory
    * @param bytesPerToken size of the KV cache of a token
    * @param linkMbps rate of its link
+   * @param maxReaders calls for cache events that an engine bears at once, 0 if not stated
    * @param managedCache whether each part of a prompt may be fetched from a place of its own
    */
   public record Engine(
-      int slots, long cacheTokens, long bytesPerToken, double linkMbps, boolean managedCache) {}
+      int slots,
+      long cacheTokens,
+      long bytesPerToken,
+      double linkMbps,
+      int maxReaders,
+      boolean managedCache) {}
 }
