Prefer engines in the entry's own failure domain

Change: a server in another failure domain costs 10 ms in the choice, less than reading or fetching a part, so a kept prefix still decides.

--- a/org.cowslipyoke.test/src/test/java/org/cowslipyoke/relay/PromptPlacementTest.java
+++ b/org.cowslipyoke.test/src/test/java/org/cowslipyoke/relay/PromptPlacementTest.java
@@ -95,6 +95,19 @@
     assertEquals("", plan(RelayFixture.prompt("org", "d3")).get().targets().get(0));
   }
 
+  /** Links between failure domains are paid for; a kept prefix is worth more than that. */
+  @Test
+  void ownFailureDomainIsPreferredUnlessThePrefixIsElsewhere() {
+    BackendServer far1 = RelayFixture.server("f1", 1, "d2");
+    BackendServer far2 = RelayFixture.server("f2", 1, "d2");
+    fixture.load(2, Map.of(), far1, far2, s1);
+    for (int i = 0; i < 20; i++) {
+      assertEquals("s1", plan(RelayFixture.prompt("org", "doc" + i)).get().server().id());
+    }
+    fixture.holds("f2:80", "org", "doc");
+    assertEquals("f2", plan(RelayFixture.prompt("org", "doc")).get().server().id());
+  }
+
   /** Guards against waiting at a server that went dark before its entry left the list. */
   @Test
   void silentServersAreAvoided() {
--- a/org.cowslipyoke.test/src/test/java/org/cowslipyoke/relay/RelayFixture.java
+++ b/org.cowslipyoke.test/src/test/java/org/cowslipyoke/relay/RelayFixture.java
@@ -57,7 +57,11 @@
   }
 
   static BackendServer server(String id, int weights) {
-    return new BackendServer(id, 1, GROUP, id, 80, "d1", false, 0, 128, Map.of(MODEL, weights));
+    return server(id, weights, "d1");
+  }
+
+  static BackendServer server(String id, int weights, String domain) {
+    return new BackendServer(id, 1, GROUP, id, 80, domain, false, 0, 128, Map.of(MODEL, weights));
   }
 
   /** Puts a desired state and servers in force, and engines that answer their reader. */
@@ -101,7 +105,8 @@
   }
 
   PromptPlacement placement() {
-    return new PromptPlacement(clock, loads, peers, directory, new KeptParts(directory), 11_000);
+    return new PromptPlacement(
+        clock, "d1", loads, peers, directory, new KeptParts(directory), 11_000);
   }
 
   static PromptWork work(long unread, long own) {
--- a/org.cowslipyoke/src/main/java/org/cowslipyoke/relay/PromptPlacement.java
+++ b/org.cowslipyoke/src/main/java/org/cowslipyoke/relay/PromptPlacement.java
@@ -26,6 +26,12 @@
    */
   static final double RANK_MS = 2;
 
+  /**
+   * Cost of a server in another failure domain, in milliseconds: the prompt and its answer cross a
+   * link that users pay for. Below the time to read or to fetch a part of usual size.
+   */
+  static final double REMOTE_MS = 10;
+
   /** Cost of a refusal for lack of room a moment ago, in milliseconds. */
   static final double FULL_MS = 400;
 
@@ -45,6 +51,7 @@
   static final double SILENT_MS = 2_000;
 
   private final Clock clock;
+  private final String ownDomain;
   private final ServerLoads loads;
   private final PeerLoads peers;
   private final CacheDirectory directory;
@@ -52,18 +59,21 @@
   private final long oldWeightsMaxMs;
 
   /**
-   * Creates the placement.
+   * Creates the placement of an entry.
    *
+   * @param ownDomain failure domain of the entry
    * @param oldWeightsMaxMs time after new weights were learned of in which old ones are still used
    */
   public PromptPlacement(
       Clock clock,
+      String ownDomain,
       ServerLoads loads,
       PeerLoads peers,
       CacheDirectory directory,
       KeptParts kept,
       long oldWeightsMaxMs) {
     this.clock = clock;
+    this.ownDomain = ownDomain;
     this.loads = loads;
     this.peers = peers;
     this.directory = directory;
@@ -172,7 +182,8 @@
     expected += memoryWaitMs(q, load, own.addedTokens(work));
     expected += own.isLoading() ? LOADING_MS : 0;
     expected += directory.isSilent(server.address()) ? SILENT_MS : 0;
-    double cost = expected + TROUBLE_MS * own.recentTrouble() + RANK_MS * rank;
+    double cost = expected + (server.failureDomain().equals(ownDomain) ? 0 : REMOTE_MS);
+    cost += TROUBLE_MS * own.recentTrouble() + RANK_MS * rank;
     cost += old ? OLD_WEIGHTS_MS : 0;
     cost += own.isFull() ? FULL_MS : 0;
     return new Option(server, weights, salt, held, work, load, expected, cost);
