Spread the sources of kept parts over the engines that hold them

Cause: a part was always fetched from the first engine in order of ids that held it.

Change: each engine fetches a part from another holder, by rendezvous hash, one in its own failure domain if there is one.

Measured: both tests fail before the change ({s0=120} uses of one source).

--- a/org.cowslipyoke.test/src/test/java/org/cowslipyoke/relay/PromptPlacementTest.java
+++ b/org.cowslipyoke.test/src/test/java/org/cowslipyoke/relay/PromptPlacementTest.java
@@ -5,6 +5,7 @@
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -68,6 +69,43 @@
     assertEquals(List.of("store-b:1", "store-b:1", ""), p.sources());
   }
 
+  /**
+   * Guards against one engine sending a popular part to all others, one transfer after the other.
+   */
+  @Test
+  void popularPartsAreFetchedFromManyEngines() {
+    BackendServer[] servers = new BackendServer[24];
+    for (int i = 0; i < servers.length; i++) {
+      servers[i] = RelayFixture.server("s" + i, 1);
+    }
+    fixture.load(2, Map.of(), servers);
+    for (int i = 0; i < 12; i++) {
+      fixture.holds(servers[i].address(), "org");
+      fixture.loads.of(servers[i]).begin(RelayFixture.work(90_000, 0));
+    }
+    Map<String, Integer> uses = new HashMap<>();
+    for (int i = 0; i < 120; i++) {
+      PromptPlan p = plan(RelayFixture.prompt("org", "doc" + i)).orElseThrow();
+      uses.merge(p.sources().get(0), 1, Integer::sum);
+    }
+    assertTrue(uses.size() >= 6, uses.toString());
+    assertTrue(uses.values().stream().allMatch(n -> n <= 40), uses.toString());
+  }
+
+  /** Guards against a fetch from the other end of a link between failure domains. */
+  @Test
+  void nearEngineIsPreferredAsSource() {
+    BackendServer far = RelayFixture.server("a-far", 1, "d2");
+    fixture.load(2, Map.of(), far, s1, s2);
+    fixture.holds(far.address(), "org", "doc");
+    fixture.holds(s2.address(), "org", "doc");
+    fixture.loads.of(far).begin(RelayFixture.work(90_000, 0));
+    fixture.loads.of(s2).begin(RelayFixture.work(90_000, 0));
+    PromptPlan p = plan(RelayFixture.prompt("org", "doc")).orElseThrow();
+    assertEquals("s1", p.server().id());
+    assertEquals(List.of("s2:80", "s2:80", ""), p.sources());
+  }
+
   /** Guards against a fetch from a store whose contents are not known to be whole any more. */
   @Test
   void staleReadingsAreNoSources() {
--- a/org.cowslipyoke/src/main/java/org/cowslipyoke/relay/KeptParts.java
+++ b/org.cowslipyoke/src/main/java/org/cowslipyoke/relay/KeptParts.java
@@ -126,18 +126,38 @@
       List<CacheStore> stores,
       CacheContents.Key key,
       int tokens) {
+    List<BackendServer> holders = new ArrayList<>();
     for (BackendServer e : engines) {
       boolean other = server == null || !e.incarnation().equals(server.incarnation());
       if (other && directory.tokens(e.address(), key) >= tokens - BLOCK_TOKENS + 1) {
-        return Optional.of(e.address());
+        holders.add(e);
       }
     }
+    if (!holders.isEmpty()) {
+      return Optional.of(spread(server, holders, key).address());
+    }
     return stores.stream()
         .map(CacheStore::address)
         .filter(a -> directory.tokens(a, key) >= tokens)
         .findFirst();
   }
 
+  /**
+   * Chooses one of several engines that hold a part, one in the failure domain of the engine that
+   * fetches if there is one. Each fetching engine gets another one by rendezvous hash: an engine
+   * sends one transfer after the other, so a popular part must not come from the same one for all.
+   */
+  private static BackendServer spread(
+      @Nullable BackendServer server, List<BackendServer> holders, CacheContents.Key key) {
+    if (server == null) {
+      return holders.get(0);
+    }
+    List<BackendServer> near =
+        holders.stream().filter(h -> h.failureDomain().equals(server.failureDomain())).toList();
+    byte[] hash = (key.part() + "@" + server.id()).getBytes(StandardCharsets.UTF_8);
+    return Rendezvous.top(hash, near.isEmpty() ? holders : near, BackendServer::id, 1).get(0);
+  }
+
   /** Weighted rendezvous hash: a store's share of the parts follows its capacity. */
   private static Optional<CacheStore> home(List<CacheStore> stores, String part) {
     CacheStore best = null;
