--- a/org.cowslipyoke.test/src/test/java/org/cowslipyoke/relay/EngineModelTest.java
+++ b/org.cowslipyoke.test/src/test/java/org/cowslipyoke/relay/EngineEstimateTest.java
@@ -8,29 +8,29 @@
 import org.cowslipyoke.relay.PeerLoads.Load;
 import org.junit.jupiter.api.Test;
 
-class EngineModelTest {
+class EngineEstimateTest {
 
   private static final long CAPACITY = 64_000;
 
   @Test
   void readingSlowsWithTheBatch() {
-    double idle = EngineModel.readMs(9_190, 0);
-    double busy = EngineModel.readMs(9_190, 60);
+    double idle = EngineEstimate.readMs(9_190, 0);
+    double busy = EngineEstimate.readMs(9_190, 60);
     assertTrue(idle > 9_190 / 74.8, "the steps themselves take time");
-    assertEquals(9_190 * 60 * EngineModel.STEP_MS_PER_REQUEST / 1_024, busy - idle, 0.001);
+    assertEquals(9_190 * 60 * EngineEstimate.STEP_MS_PER_REQUEST / 1_024, busy - idle, 0.001);
   }
 
   @Test
   void promptThatFitsDoesNotWaitForMemory() {
-    assertEquals(0, EngineModel.memoryWaitMs(new Load(20, 0, 50_000), 9_000, CAPACITY, 2_000));
-    assertEquals(0, EngineModel.memoryWaitMs(Load.NONE, 70_000, CAPACITY, 2_000));
+    assertEquals(0, EngineEstimate.memoryWaitMs(new Load(20, 0, 50_000), 9_000, CAPACITY, 2_000));
+    assertEquals(0, EngineEstimate.memoryWaitMs(Load.NONE, 70_000, CAPACITY, 2_000));
   }
 
   @Test
   void waitGrowsWithWhatDoesNotFit() {
     Load full = new Load(40, 0, 64_000);
-    assertEquals(250, EngineModel.memoryWaitMs(full, 8_000, CAPACITY, 2_000), 1);
-    assertEquals(2_000, EngineModel.memoryWaitMs(full, 200_000, CAPACITY, 2_000), 1);
+    assertEquals(250, EngineEstimate.memoryWaitMs(full, 8_000, CAPACITY, 2_000), 1);
+    assertEquals(2_000, EngineEstimate.memoryWaitMs(full, 200_000, CAPACITY, 2_000), 1);
   }
 
   /** Guards against counting a prefix once for each request: engines keep it once. */
--- a/org.cowslipyoke.test/src/test/java/org/cowslipyoke/relay/OverloadTest.java
+++ b/org.cowslipyoke.test/src/test/java/org/cowslipyoke/relay/OverloadTest.java
@@ -139,9 +139,9 @@
       load.begin(work);
       Engine engine = requireNonNull(engines.get(server.id()));
       long beginMs = Math.max(clock.nowMs(), engine.freeMs);
-      engine.freeMs = beginMs + Math.round(EngineModel.readMs(PROMPT_TOKENS, engine.running));
+      engine.freeMs = beginMs + Math.round(EngineEstimate.readMs(PROMPT_TOKENS, engine.running));
       engine.running++;
-      long firstMs = engine.freeMs - clock.nowMs() + Math.round(EngineModel.FIRST_TOKEN_MS);
+      long firstMs = engine.freeMs - clock.nowMs() + Math.round(EngineEstimate.FIRST_TOKEN_MS);
       inTime += firstMs <= TARGET_MS ? 1 : 0;
       late += firstMs <= TARGET_MS ? 0 : 1;
       at(firstMs, () -> load.promptRead(work));
--- a/org.cowslipyoke/src/main/java/org/cowslipyoke/relay/EngineModel.java
+++ b/org.cowslipyoke/src/main/java/org/cowslipyoke/relay/EngineEstimate.java
@@ -7,7 +7,7 @@
  * token for every running request and reads one piece of the prompts that wait, so more running
  * requests slow reading, and prompts beyond the engine's memory wait until running ones end.
  */
-final class EngineModel {
+final class EngineEstimate {
 
   /** Time to read a prompt token, in ms; 74.8 tokens a millisecond on the sheets of both users. */
   static final double READ_MS_PER_TOKEN = 1 / 74.8;
@@ -30,7 +30,7 @@
    */
   static final double MEMORY_PART = 1.0;
 
-  private EngineModel() {}
+  private EngineEstimate() {}
 
   /** Returns the time in which an engine with this many running requests reads tokens, in ms. */
   static double readMs(double tokens, int running) {
--- a/org.cowslipyoke/src/main/java/org/cowslipyoke/relay/PromptPlacement.java
+++ b/org.cowslipyoke/src/main/java/org/cowslipyoke/relay/PromptPlacement.java
@@ -175,8 +175,8 @@
     int fetched = fetchedTokens(q, salt, held);
     int unread = Math.max(1, p.promptTokens() - held.heldTokens() - fetched);
     Load load = q.load().at(server);
-    double expected = EngineModel.FIRST_TOKEN_MS;
-    expected += EngineModel.readMs(load.unreadTokens() + unread, load.inFlight());
+    double expected = EngineEstimate.FIRST_TOKEN_MS;
+    expected += EngineEstimate.readMs(load.unreadTokens() + unread, load.inFlight());
     expected += fetched * fetchMsPerToken(q);
     PromptWork work = PromptWork.of(p, salt, unread);
     expected += memoryWaitMs(q, load, own.addedTokens(work));
@@ -206,7 +206,7 @@
 
   private double memoryWaitMs(Question q, Load load, long tokens) {
     long capacity = q.group().engine() == null ? 0 : q.group().engine().cacheTokens();
-    return EngineModel.memoryWaitMs(load, tokens, capacity, loads.residenceMs());
+    return EngineEstimate.memoryWaitMs(load, tokens, capacity, loads.residenceMs());
   }
 
   /** Returns the tokens after the held parts that can be fetched from an engine or a store. */
