--- a/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/LoadExchange.java
+++ b/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/LoadExchange.java
@@ -35,7 +35,6 @@
 
   private static final Logger LOG = LogManager.getLogger(LoadExchange.class);
 
-  private final Clock clock;
   private final String vm;
   private final long startedMs;
   private final ServerLoads loads;
@@ -53,7 +52,6 @@
    */
   public LoadExchange(
       Clock clock, String vm, InetSocketAddress own, ServerLoads loads, PeerLoads received) {
-    this.clock = clock;
     this.vm = vm;
     this.startedMs = clock.wallMs();
     this.loads = loads;
--- a/org.cowslipyoke.test/src/test/java/org/cowslipyoke/relay/PromptPlacementTest.java
+++ b/org.cowslipyoke.test/src/test/java/org/cowslipyoke/relay/PromptPlacementTest.java
@@ -229,6 +229,7 @@
       fixture.loads.of(s).refused(false);
     }
     PromptPlan p = plan(RelayFixture.prompt("org", "doc")).orElseThrow();
-    assertEquals(EngineEstimate.FIRST_TOKEN_MS + EngineEstimate.readMs(9_000, 0), p.estimateMs(), 0.001);
+    assertEquals(
+        EngineEstimate.FIRST_TOKEN_MS + EngineEstimate.readMs(9_000, 0), p.estimateMs(), 0.001);
   }
 }
--- a/org.cowslipyoke/src/main/java/org/cowslipyoke/relay/EngineEstimate.java
+++ b/org.cowslipyoke/src/main/java/org/cowslipyoke/relay/EngineEstimate.java
@@ -33,7 +33,7 @@
   private EngineEstimate() {}
 
   /** Returns the time in which an engine with this many running requests reads tokens, in ms. */
-  static double readMs(double tokens, int running) {
+  static double readMs(long tokens, int running) {
     double step = STEP_MS + STEP_MS_PER_REQUEST * running;
     return tokens * (READ_MS_PER_TOKEN + step / PIECE_TOKENS);
   }
--- a/org.cowslipyoke/src/main/java/org/cowslipyoke/relay/PromptPlacement.java
+++ b/org.cowslipyoke/src/main/java/org/cowslipyoke/relay/PromptPlacement.java
@@ -164,7 +164,6 @@
     if (weights == 0) {
       return null;
     }
-    ServerLoad own = loads.of(server);
     WeightTarget target = q.state().targets().get(p.model());
     boolean old = target != null && weights < target.version();
     if (target != null && old && isFinal(q, target)) {
@@ -174,19 +173,32 @@
     Held held = kept.heldAt(server, salt, p);
     int fetched = fetchedTokens(q, salt, held);
     int unread = Math.max(1, p.promptTokens() - held.heldTokens() - fetched);
+    PromptWork work = PromptWork.of(p, salt, unread);
     Load load = q.load().at(server);
+    double expected = expectedMs(q, server, load, work) + fetched * fetchMsPerToken(q);
+    double cost = expected + penaltyMs(server, old) + RANK_MS * rank;
+    return new Option(server, weights, salt, held, work, load, expected, cost);
+  }
+
+  /** Returns the expected time to the first token without fetches. */
+  private double expectedMs(Question q, BackendServer server, Load load, PromptWork work) {
+    ServerLoad own = loads.of(server);
     double expected = EngineEstimate.FIRST_TOKEN_MS;
-    expected += EngineEstimate.readMs(load.unreadTokens() + unread, load.inFlight());
-    expected += fetched * fetchMsPerToken(q);
-    PromptWork work = PromptWork.of(p, salt, unread);
+    expected += EngineEstimate.readMs(load.unreadTokens() + work.unreadTokens(), load.inFlight());
     expected += memoryWaitMs(q, load, own.addedTokens(work));
     expected += own.isLoading() ? LOADING_MS : 0;
     expected += directory.isSilent(server.address()) ? SILENT_MS : 0;
-    double cost = expected + (server.failureDomain().equals(ownDomain) ? 0 : REMOTE_MS);
-    cost += TROUBLE_MS * own.recentTrouble() + RANK_MS * rank;
-    cost += old ? OLD_WEIGHTS_MS : 0;
-    cost += own.isFull() ? FULL_MS : 0;
-    return new Option(server, weights, salt, held, work, load, expected, cost);
+    return expected;
+  }
+
+  /** Returns what speaks against a server though it delays no request for sure. */
+  private double penaltyMs(BackendServer server, boolean oldWeights) {
+    ServerLoad own = loads.of(server);
+    double penalty = server.failureDomain().equals(ownDomain) ? 0 : REMOTE_MS;
+    penalty += TROUBLE_MS * own.recentTrouble();
+    penalty += oldWeights ? OLD_WEIGHTS_MS : 0;
+    penalty += own.isFull() ? FULL_MS : 0;
+    return penalty;
   }
 
   /** Returns whether older weights than the target must not be used for new requests any more. */
