Take reports of an entry that restarts after its clock was set back

Cause: a report counts as newer by the start of its entry, by the wall clock. After a step back a restarted entry was ignored for good, and its work estimated instead.

Change: a report replaces one that is too old to be used.

--- a/org.cowslipyoke.test/src/test/java/org/cowslipyoke/relay/PeerLoadsTest.java
+++ b/org.cowslipyoke.test/src/test/java/org/cowslipyoke/relay/PeerLoadsTest.java
@@ -46,6 +46,15 @@
     assertEquals(new Load(1, 1, 1), peers.at(s1));
   }
 
+  /** Guards against ignoring an entry for ever that restarts after its clock was set back. */
+  @Test
+  void earlierStartIsTakenOnceTheLastReportIsOld() {
+    report("e1", 9, 700, new Load(9, 9, 9));
+    clock.advance(PeerLoads.MAX_AGE_MS + 1);
+    report("e1", 4, 1, new Load(1, 1, 1));
+    assertEquals(new Load(1, 1, 1), peers.at(s1));
+  }
+
   /** Guards against work of an entry that ended, or that is cut off, being counted for ever. */
   @Test
   void oldReportsAreNotUsed() {
--- a/org.cowslipyoke/src/main/java/org/cowslipyoke/relay/PeerLoads.java
+++ b/org.cowslipyoke/src/main/java/org/cowslipyoke/relay/PeerLoads.java
@@ -67,7 +67,7 @@
       }
     }
     Received next = new Received(r, clock.nowMs());
-    byVm.merge(r.vm(), next, (old, n) -> isNewer(n.report(), old.report()) ? n : old);
+    byVm.merge(r.vm(), next, (old, n) -> replaces(n, old) ? n : old);
   }
 
   /** Returns the number of entries whose report is fresh. */
@@ -89,9 +89,14 @@
     return sum;
   }
 
-  private static boolean isNewer(Report a, Report b) {
-    return a.startedMs() != b.startedMs()
-        ? a.startedMs() > b.startedMs()
-        : a.sequence() > b.sequence();
+  /** An entry that restarts after its wall clock was set back has an earlier start. */
+  private static boolean replaces(Received next, Received old) {
+    Report a = next.report();
+    Report b = old.report();
+    boolean newer =
+        a.startedMs() != b.startedMs()
+            ? a.startedMs() > b.startedMs()
+            : a.sequence() > b.sequence();
+    return newer || next.atMs() - old.atMs() > MAX_AGE_MS;
   }
 }
