Bound answers on the wire and close connections with bytes of nobody

Cause: Jetty's client reads heads, chunk sizes, trailers and interim answers without end. Bytes on an idle connection were left to the next answer. A close at this end passed as the end of an answer without a length. A connect time-out failed a copy of the queue, and with it requests that had got another connection meanwhile. Interim answers other than 101 hung until the deadline, because their handlers had been removed.

A request whose kept connection was closed is sent on another one, because no byte of it left. ServerTransport fails only requests that still wait.

--- a/org.cowslipyoke.http/src/main/java/org/cowslipyoke/http/HttpConnector.java
+++ b/org.cowslipyoke.http/src/main/java/org/cowslipyoke/http/HttpConnector.java
@@ -10,29 +10,36 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicReference;
 import java.util.stream.Stream;
 import org.cowslipyoke.http.internal.AnswerCollector;
-import org.cowslipyoke.http.internal.ResetAwareConnector;
+import org.cowslipyoke.http.internal.NotSentException;
+import org.cowslipyoke.http.internal.ServerConnections;
+import org.cowslipyoke.http.internal.ServerTransport;
 import org.eclipse.jetty.client.AbstractConnectionPool;
 import org.eclipse.jetty.client.BytesRequestContent;
+import org.eclipse.jetty.client.ContinueProtocolHandler;
 import org.eclipse.jetty.client.Destination;
+import org.eclipse.jetty.client.EarlyHintsProtocolHandler;
 import org.eclipse.jetty.client.HttpClient;
 import org.eclipse.jetty.client.InputStreamResponseListener;
+import org.eclipse.jetty.client.ProcessingProtocolHandler;
 import org.eclipse.jetty.client.Request;
 import org.eclipse.jetty.client.Response;
 import org.eclipse.jetty.client.Result;
-import org.eclipse.jetty.client.transport.HttpClientTransportOverHTTP;
 import org.eclipse.jetty.http.HttpCookieStore;
 import org.eclipse.jetty.http.HttpField;
 import org.eclipse.jetty.http.HttpHeader;
+import org.eclipse.jetty.io.Content;
 import org.eclipse.jetty.util.thread.QueuedThreadPool;
+import org.jspecify.annotations.Nullable;
 
 /**
  * The HTTP client that all platform clients of a process share.
  *
  * <p>Every exchange has a deadline after which it is aborted and its connection closed, so a
- * connection that went silent never stays in a pool. Nothing is retried and no redirect is
- * followed.
+ * connection that went silent never stays in a pool. A request is sent again only if its kept
+ * connection was closed before a byte of it left; no redirect is followed.
  */
 public final class HttpConnector implements AutoCloseable {
 
@@ -42,6 +49,12 @@
   /** Media type of raw bodies. */
   static final String BYTES = "application/octet-stream";
 
+  /** Bytes of the head of an answer. */
+  private static final int MAX_HEAD_BYTES = 32 << 10;
+
+  /** Times that a request is sent again because its kept connection turned out to be closed. */
+  public static final int MAX_RESENDS = 3;
+
   /** Time that the caller waits beyond the deadline for Jetty to report the abort. */
   private static final long ABORT_GRACE_MS = 500;
 
@@ -55,6 +68,11 @@
   public record Limits(
       int maxConnections, int maxQueued, long connectTimeoutMs, int maxAnswerBytes) {
 
+    /** Bytes of one answer on the wire: small chunks at most double the bytes of their content. */
+    long maxBytesPerAnswer() {
+      return 2L * maxAnswerBytes + MAX_HEAD_BYTES;
+    }
+
     /** Returns the bounds used by daemons; a batch of an engine needs one connection per run. */
     public static Limits defaults() {
       return new Limits(256, 256, 1_000, 8 << 20);
@@ -138,10 +156,13 @@
    * @throws IllegalStateException if the client does not start
    */
   public static HttpClient startClient(String name, Limits limits, Executor threads, long idleMs) {
-    HttpClient c = new HttpClient(new HttpClientTransportOverHTTP(new ResetAwareConnector()));
+    ServerConnections connections = new ServerConnections(limits.maxBytesPerAnswer());
+    HttpClient c = new HttpClient(new ServerTransport(connections));
+    c.getRequestListeners().addQueuedListener(connections);
     c.setExecutor(threads);
     c.setMaxConnectionsPerDestination(limits.maxConnections());
     c.setMaxRequestsQueuedPerDestination(limits.maxQueued());
+    c.setMaxResponseHeadersSize(MAX_HEAD_BYTES);
     c.setConnectTimeout(limits.connectTimeoutMs());
     c.setAddressResolutionTimeout(limits.connectTimeoutMs());
     c.setIdleTimeout(idleMs);
@@ -154,6 +175,9 @@
       throw new IllegalStateException("the HTTP client does not start", e);
     }
     c.getProtocolHandlers().clear();
+    c.getProtocolHandlers().put(new ContinueProtocolHandler());
+    c.getProtocolHandlers().put(new ProcessingProtocolHandler());
+    c.getProtocolHandlers().put(new EarlyHintsProtocolHandler());
     c.getContentDecoderFactories().clear();
     return c;
   }
@@ -178,6 +202,21 @@
    * aborts the exchange.
    */
   public CompletableFuture<Either<Broken, Answer>> sendAsync(Call call) {
+    AtomicReference<@Nullable Request> current = new AtomicReference<>();
+    CompletableFuture<Either<Broken, Answer>> answer = sendAsync(call, MAX_RESENDS, current);
+    var unused =
+        answer.whenComplete(
+            (a, e) -> {
+              Request r = current.get();
+              if (e != null && r != null) {
+                abort(r, e);
+              }
+            });
+    return answer;
+  }
+
+  private CompletableFuture<Either<Broken, Answer>> sendAsync(
+      Call call, int resends, AtomicReference<@Nullable Request> current) {
     AtomicBoolean begun = new AtomicBoolean();
     AnswerCollector collector = new AnswerCollector(limits.maxAnswerBytes());
     Request r;
@@ -187,17 +226,15 @@
       return CompletableFuture.completedFuture(
           Either.left(new Broken(Loss.NOT_SENT, "malformed address or header")));
     }
+    current.set(r);
     r.send(collector);
-    CompletableFuture<Either<Broken, Answer>> answer =
-        collector.done().thenApply(result -> answer(result, collector, begun));
-    var unused =
-        answer.whenComplete(
-            (a, e) -> {
-              if (e != null) {
-                abort(r, e);
-              }
-            });
-    return answer;
+    return collector
+        .done()
+        .thenCompose(
+            result ->
+                resends > 0 && isNotSent(result.getFailure())
+                    ? sendAsync(call, resends - 1, current)
+                    : CompletableFuture.completedFuture(answer(result, collector, begun)));
   }
 
   private Either<Broken, Answer> answer(
@@ -208,6 +245,9 @@
               Loss.ANSWER_TOO_LARGE, "answer exceeds " + limits.maxAnswerBytes() + " bytes"));
     }
     if (result.isFailed()) {
+      if (isNotSent(result.getFailure())) {
+        begun.set(false);
+      }
       return Either.left(broken(begun, String.valueOf(result.getFailure())));
     }
     Response response = result.getResponse();
@@ -221,7 +261,7 @@
    */
   Either<Broken, Streamed> stream(Call call, long idleMs) {
     AtomicBoolean begun = new AtomicBoolean();
-    InputStreamResponseListener listener = new InputStreamResponseListener();
+    InputStreamResponseListener listener = new StreamListener();
     Request r;
     try {
       r =
@@ -249,6 +289,28 @@
     }
   }
 
+  private static final class StreamListener extends InputStreamResponseListener {
+
+    @Override
+    public void onContent(Response response, Content.Chunk chunk, Runnable demander) {
+      countContent(response, chunk.remaining());
+      super.onContent(response, chunk, demander);
+    }
+  }
+
+  /**
+   * Counts content of an answer. Each listener of a client of {@link #startClient} has to call it:
+   * answers with too many other bytes are broken off.
+   */
+  public static void countContent(Response response, int bytes) {
+    ServerConnections.countContent(response, bytes);
+  }
+
+  /** Returns whether a request failed on a kept connection before any byte of it left. */
+  public static boolean isNotSent(@Nullable Throwable failure) {
+    return failure instanceof NotSentException;
+  }
+
   @Override
   public void close() {
     try {
--- a/org.cowslipyoke.http/src/main/java/org/cowslipyoke/http/internal/AnswerCollector.java
+++ b/org.cowslipyoke.http/src/main/java/org/cowslipyoke/http/internal/AnswerCollector.java
@@ -29,6 +29,7 @@
 
   @Override
   public void onContent(Response response, ByteBuffer content) {
+    ServerConnections.countContent(response, content.remaining());
     if (body.size() + content.remaining() > maxBytes) {
       refuse(response);
       return;
--- /dev/null
+++ b/org.cowslipyoke.http/src/main/java/org/cowslipyoke/http/internal/ServerTransport.java
@@ -0,0 +1,33 @@
+package org.cowslipyoke.http.internal;
+
+import org.eclipse.jetty.client.Destination;
+import org.eclipse.jetty.client.Origin;
+import org.eclipse.jetty.client.transport.HttpClientTransportOverHTTP;
+import org.eclipse.jetty.client.transport.HttpDestination;
+import org.eclipse.jetty.client.transport.HttpExchange;
+
+/** HTTP/1.1 over the connections of {@link ServerConnections}. */
+public final class ServerTransport extends HttpClientTransportOverHTTP {
+
+  /** Creates a transport. */
+  public ServerTransport(ServerConnections connections) {
+    super(connections);
+  }
+
+  @Override
+  public Destination newDestination(Origin origin) {
+    return new HttpDestination(getHttpClient(), origin) {
+
+      /**
+       * Fails the requests that still wait for a connection. Jetty fails a copy of the queue, and
+       * with it requests that got another connection meanwhile and are in service.
+       */
+      @Override
+      public void failed(Throwable cause) {
+        for (HttpExchange e = getHttpExchanges().poll(); e != null; e = getHttpExchanges().poll()) {
+          var unused = e.getRequest().abort(cause);
+        }
+      }
+    };
+  }
+}
