Take only answers with the request's id, and events with increasing ids

Cause: an answer without an id was taken for the request's own, so a late second answer could reach the next caller. A status of the second server of a resumed stream was written behind the events of the first, and ended the stream as whole. An event of more than 1 MiB was passed on in pieces, and large answers of several servers could fill the heap.

Change: the id is checked in the head, and the exchange is aborted there. What is not the rest of a begun stream breaks the attempt. Events need ids that increase, and have at most 256 KiB.

--- a/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/EventSplitter.java
+++ b/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/EventSplitter.java
@@ -3,35 +3,60 @@
 import java.io.ByteArrayOutputStream;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
-import java.util.Arrays;
+import org.cowslipyoke.util.MalformedAnswerException;
 import org.jspecify.annotations.Nullable;
 
 /**
  * Splits a stream of server-sent events into whole events, so that a server that stops in the
- * middle of one leaves no part of it with the caller.
+ * middle of one leaves no part of it with the caller. Events bear increasing ids; bytes without
+ * them are no events.
  */
 final class EventSplitter {
 
-  /** Bytes of one event that are kept; a longer event is passed on in pieces. */
-  static final int MAX_EVENT_BYTES = 1 << 20;
+  /** Bytes of one event; the events of engines have some hundred. */
+  static final int MAX_EVENT_BYTES = 256 << 10;
 
-  private final ByteArrayOutputStream open = new ByteArrayOutputStream();
+  private static final class Buffer extends ByteArrayOutputStream {
+
+    int byteAt(int i) {
+      return i < 0 ? -1 : buf[i];
+    }
+  }
+
+  private final Buffer open = new Buffer();
   private @Nullable String lastId;
 
-  /** Takes bytes and returns the whole events that they complete, empty if none. */
-  byte[] add(ByteBuffer bytes) {
+  /**
+   * Creates a splitter.
+   *
+   * @param lastId id of the event after which the stream goes on, null if it starts
+   */
+  EventSplitter(@Nullable String lastId) {
+    this.lastId = lastId;
+  }
+
+  /**
+   * Takes bytes and returns the whole events that they complete, empty if none.
+   *
+   * @throws MalformedAnswerException if an event is too long, has no id, or one that does not come
+   *     after the last
+   */
+  byte[] add(ByteBuffer bytes) throws MalformedAnswerException {
     byte[] b = new byte[bytes.remaining()];
     bytes.get(b);
-    open.writeBytes(b);
-    byte[] all = open.toByteArray();
-    int end = all.length > MAX_EVENT_BYTES ? all.length : endOfLastEvent(all);
+    int end = endOfLastEvent(b);
     if (end == 0) {
+      open.writeBytes(b);
+      if (open.size() > MAX_EVENT_BYTES) {
+        throw new MalformedAnswerException("an event exceeds " + MAX_EVENT_BYTES + " bytes");
+      }
       return new byte[0];
     }
-    byte[] whole = Arrays.copyOf(all, end);
+    open.write(b, 0, end);
+    byte[] whole = open.toByteArray();
     open.reset();
-    open.write(all, end, all.length - end);
-    noteIds(whole);
+    open.write(b, end, b.length - end);
+    checkIds(new String(whole, StandardCharsets.ISO_8859_1));
     return whole;
   }
 
@@ -40,31 +65,64 @@
     return open.toByteArray();
   }
 
-  /** Returns the id of the last whole event, null if none had one. */
+  /** Returns the id of the last whole event, null if there is none. */
   @Nullable String lastId() {
     return lastId;
   }
 
-  private static int endOfLastEvent(byte[] b) {
-    for (int i = b.length - 1; i > 0; i--) {
-      boolean blankLine = b[i] == '\n' && (b[i - 1] == '\n' || isCrLfBefore(b, i));
-      if (blankLine) {
-        return i + 1;
+  /** Returns the position after the last blank line that ends in {@code b}, 0 if none does. */
+  private int endOfLastEvent(byte[] b) {
+    for (int i = b.length - 1; i >= 0; i--) {
+      if (b[i] == '\n') {
+        int before = byteAt(b, i - 1);
+        if (before == '\n' || (before == '\r' && byteAt(b, i - 2) == '\n')) {
+          return i + 1;
+        }
       }
     }
     return 0;
   }
 
-  private static boolean isCrLfBefore(byte[] b, int i) {
-    return i > 1 && b[i - 1] == '\r' && b[i - 2] == '\n';
+  /** Returns a byte of {@code b} or, before its begin, of the open event; -1 if there is none. */
+  private int byteAt(byte[] b, int i) {
+    if (i >= 0) {
+      return b[i];
+    }
+    return open.byteAt(open.size() + i);
+  }
+
+  private void checkIds(String events) throws MalformedAnswerException {
+    String id = null;
+    boolean fields = false;
+    for (String line : events.split("\r?\n", -1)) {
+      if (line.startsWith("id:")) {
+        id = line.substring(3).trim();
+      } else if (line.isEmpty()) {
+        if (id != null) {
+          follow(id);
+        } else if (fields) {
+          throw new MalformedAnswerException("an event has no id");
+        }
+        id = null;
+        fields = false;
+      } else if (!line.startsWith(":")) {
+        fields = true;
+      }
+    }
+  }
+
+  private void follow(String id) throws MalformedAnswerException {
+    if (lastId != null && !isAfter(id, lastId)) {
+      throw new MalformedAnswerException("an event does not come after the last one");
+    }
+    lastId = id;
   }
 
-  private void noteIds(byte[] events) {
-    String text = new String(events, StandardCharsets.ISO_8859_1);
-    int start = text.lastIndexOf("\nid:") + 1;
-    if (text.startsWith("id:", start)) {
-      int end = text.indexOf('\n', start);
-      lastId = text.substring(start + 3, end < 0 ? text.length() : end).trim();
+  private static boolean isAfter(String id, String last) {
+    try {
+      return Long.parseLong(id) > Long.parseLong(last);
+    } catch (NumberFormatException e) {
+      return !id.equals(last);
     }
   }
 }
--- a/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/Relay.java
+++ b/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/Relay.java
@@ -98,7 +98,8 @@
     this.clock = clock;
     this.timers = Executors.newSingleThreadScheduledExecutor(Relay::timerThread);
     HttpConnector.Limits limits =
-        new HttpConnector.Limits(MAX_CONNECTIONS, MAX_CONNECTIONS, CONNECT_MS, 1 << 20);
+        new HttpConnector.Limits(
+            MAX_CONNECTIONS, MAX_CONNECTIONS, CONNECT_MS, AnswerBuffer.MAX_BYTES);
     this.client = HttpConnector.startClient("", limits, threads, SERVER_IDLE_MS);
     client.setUserAgentField(null);
     client.setDefaultRequestContentType(null);
@@ -122,6 +123,7 @@
             loads,
             new ColdShare(clock),
             new RepeatBudget(clock, o.budgetWindowMs(), o.budgetRatio(), o.budgetConstant()),
+            new AnswerMemory(),
             new RelayMetrics(meters));
     this.handler = new RelayHandler(services);
     this.server = new Server(threads);
--- a/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/RelayAttempt.java
+++ b/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/RelayAttempt.java
@@ -1,17 +1,18 @@
 package org.cowslipyoke.daemon.relay;
 
-import java.io.ByteArrayOutputStream;
 import java.nio.ByteBuffer;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.cowslipyoke.daemon.relay.RelayDialect.AnswerHead;
+import org.cowslipyoke.http.HttpConnector;
 import org.cowslipyoke.relay.AttemptEnd;
 import org.cowslipyoke.relay.BackendServer;
 import org.cowslipyoke.relay.PromptPlan;
 import org.cowslipyoke.relay.PromptWork;
 import org.cowslipyoke.relay.ServerLoad;
+import org.cowslipyoke.util.MalformedAnswerException;
 import org.eclipse.jetty.client.BytesRequestContent;
 import org.eclipse.jetty.client.Request;
 import org.eclipse.jetty.client.Response;
@@ -27,9 +28,6 @@
 
   private static final Logger LOG = LogManager.getLogger(RelayAttempt.class);
 
-  /** Largest answer that is kept until it is whole; larger ones than callers of today get. */
-  private static final int MAX_ANSWER_BYTES = 4 << 20;
-
   /** Time by which Jetty's own deadline of the exchange is later than the request's, in ms. */
   private static final long JETTY_GRACE_MS = 2_000;
 
@@ -38,8 +36,8 @@
   private final @Nullable PromptPlan plan;
   private final PromptWork work;
   private final ServerLoad load;
-  private final EventSplitter events = new EventSplitter();
-  private final ByteArrayOutputStream whole = new ByteArrayOutputStream();
+  private final EventSplitter events;
+  private final AnswerBuffer whole;
   private final long startMs;
   private volatile boolean sent;
   private volatile @Nullable Request jetty;
@@ -49,6 +47,7 @@
   private volatile long lastBytesMs;
   private boolean streaming;
   private boolean promptRead;
+  private int resends;
   private boolean ended;
 
   RelayAttempt(RelayExchange exchange, BackendServer server, @Nullable PromptPlan plan) {
@@ -57,6 +56,8 @@
     this.plan = plan;
     this.work = plan == null ? PromptWork.NONE : plan.work();
     this.load = exchange.services().loads().of(server);
+    this.events = new EventSplitter(exchange.run().lastEventId());
+    this.whole = new AnswerBuffer(exchange.services().answers());
     this.startMs = exchange.services().clock().nowMs();
   }
 
@@ -79,6 +80,10 @@
   /** Sends the request. */
   void send() {
     load.begin(work);
+    post();
+  }
+
+  private void post() {
     HttpFields out =
         exchange
             .services()
@@ -122,12 +127,18 @@
     if (plan != null && h.weights() > 0) {
       load.sawWeights(h.weights());
     }
-    boolean own = exchange.request().id().equals(h.requestId()) || h.requestId() == null;
-    streaming = exchange.isStream() && h.sealed() && own && response.getStatus() / 100 == 2;
+    if (!exchange.request().id().equals(h.requestId())) {
+      var unused =
+          response.abort(new MalformedAnswerException("the answer belongs to another request"));
+    } else if (response.getStatus() / 100 == 1) {
+      var unused = response.abort(new MalformedAnswerException("no answer to this request"));
+    }
+    streaming = exchange.isStream() && h.sealed() && response.getStatus() / 100 == 2;
   }
 
   @Override
   public void onContent(Response response, ByteBuffer bytes) {
+    HttpConnector.countContent(response, bytes.remaining());
     if (!promptRead) {
       promptRead = true;
       noteFirstAnswer();
@@ -138,20 +149,20 @@
     }
     receivedBytes.addAndGet(bytes.remaining());
     lastBytesMs = exchange.services().clock().nowMs();
-    byte[] complete = events.add(bytes);
-    if (complete.length > 0) {
-      relay(complete);
+    try {
+      byte[] complete = events.add(bytes);
+      if (complete.length > 0) {
+        relay(complete);
+      }
+    } catch (MalformedAnswerException e) {
+      var unused = response.abort(e);
     }
   }
 
   private void collect(Response response, ByteBuffer bytes) {
-    if (whole.size() + bytes.remaining() > MAX_ANSWER_BYTES) {
-      var unused = response.abort(new IllegalStateException("the answer is too large"));
-      return;
+    if (!whole.add(bytes)) {
+      var unused = response.abort(new MalformedAnswerException("the answer is too large"));
     }
-    byte[] b = new byte[bytes.remaining()];
-    bytes.get(b);
-    whole.writeBytes(b);
   }
 
   private void relay(byte[] complete) {
@@ -198,7 +209,22 @@
     if (ended) {
       return;
     }
+    if (resends < HttpConnector.MAX_RESENDS
+        && HttpConnector.isNotSent(result.getFailure())
+        && !exchange.isOver()) {
+      resends++;
+      post();
+      return;
+    }
     ended = true;
+    try {
+      completed(result);
+    } finally {
+      whole.release();
+    }
+  }
+
+  private void completed(Result result) {
     if (!promptRead) {
       load.promptRead(work);
     }
@@ -211,14 +237,11 @@
     }
     AnswerHead h = head;
     if (result.isFailed() || h == null) {
+      sent &= !HttpConnector.isNotSent(result.getFailure());
       broken(shortened(result.getFailure()));
       return;
     }
-    String requestId = h.requestId();
-    if (requestId != null && !requestId.equals(exchange.request().id())) {
-      closeConnection(result);
-      broken("the answer belongs to another request");
-    } else if (h.misdirected()) {
+    if (h.misdirected()) {
       exchange.attemptEnded(this, AttemptEnd.MISDIRECTED, "status " + h.status());
     } else if (h.notRun()) {
       load.refused(plan != null && exchange.isReplaced(plan.weights()));
@@ -236,7 +259,9 @@
       } else {
         broken("the stream has no event");
       }
-    } else if (!h.sealed() || h.status() / 100 == 1 || isUnstatedRefusal(h)) {
+    } else if (exchange.run().isAnswerBegun()) {
+      broken("status " + h.status() + " for the rest of a stream");
+    } else if (!h.sealed() || isUnstatedRefusal(h)) {
       broken("the answer has no receipt, status " + h.status());
     } else if (h.status() >= 500) {
       load.trouble(0.5);
@@ -254,6 +279,7 @@
   /** Passes the collected answer on to the caller. */
   void passOn() {
     AnswerHead h = head;
+    logPassedOn(h, whole.size());
     exchange.answered();
     exchange
         .caller()
@@ -269,10 +295,23 @@
           .caller()
           .streamHead(h.status(), exchange.services().dialect().answerHeaders(headers));
     }
+    logPassedOn(h, receivedBytes.get());
     exchange.answered();
     exchange.caller().end(events.rest());
   }
 
+  private void logPassedOn(@Nullable AnswerHead h, long bytes) {
+    LOG.info(
+        "answer passed on: request={} server={} status={} bytes={} framing={} tookMs={} tries={}",
+        exchange.request().id(),
+        server.id(),
+        h == null ? 0 : h.status(),
+        bytes,
+        AnswerFraming.of(headers),
+        exchange.elapsedMs(),
+        exchange.run().tries());
+  }
+
   private void broken(String reason) {
     AttemptEnd end = sent ? AttemptEnd.BROKEN : AttemptEnd.NOT_SENT;
     if (!exchange.isOver()) {
@@ -289,11 +328,4 @@
     String text = String.valueOf(e.getMessage());
     return e.getClass().getSimpleName() + ": " + text.substring(0, Math.min(60, text.length()));
   }
-
-  private static void closeConnection(Result result) {
-    var c = result.getRequest().getConnection();
-    if (c != null) {
-      c.close();
-    }
-  }
 }
--- a/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/RelayServices.java
+++ b/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/RelayServices.java
@@ -24,4 +24,5 @@
     ServerLoads loads,
     ColdShare cold,
     RepeatBudget repeats,
+    AnswerMemory answers,
     RelayMetrics metrics) {}
