Refuse JSON answers with bytes after their object

Cause: the reader stopped at the end of the first object, so an answer that goes on with something else passed as whole.

--- a/org.cowslipyoke/src/main/java/org/cowslipyoke/util/Json.java
+++ b/org.cowslipyoke/src/main/java/org/cowslipyoke/util/Json.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.core.StreamReadConstraints;
+import com.fasterxml.jackson.databind.DeserializationFeature;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ObjectNode;
@@ -20,15 +21,16 @@
 
   private static final ObjectMapper MAPPER =
       new ObjectMapper(
-          JsonFactory.builder()
-              .streamReadConstraints(
-                  StreamReadConstraints.builder()
-                      .maxNestingDepth(MAX_DEPTH)
-                      .maxStringLength(MAX_STRING)
-                      .maxNameLength(1024)
-                      .maxNumberLength(64)
-                      .build())
-              .build());
+              JsonFactory.builder()
+                  .streamReadConstraints(
+                      StreamReadConstraints.builder()
+                          .maxNestingDepth(MAX_DEPTH)
+                          .maxStringLength(MAX_STRING)
+                          .maxNameLength(1024)
+                          .maxNumberLength(64)
+                          .build())
+                  .build())
+          .enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS);
 
   private Json() {}
 
