Refuse answers of plain services with another id, and blocks without a length

Cause: HttpPlainService did not compare the id of an answer with that of its call. A block that an engine exports without a length or chunks ends with its connection, and nothing tells whether it is whole before it is sealed and kept.

Measured: UnreliableServerTest.answerToAnotherCallIsRefused failed before and passes; exportedBlockWithoutLengthIsRefused passes (its first run before the change failed by an error of the test itself, so it was not seen to fail).

--- a/org.cowslipyoke.http/src/main/java/org/cowslipyoke/http/HttpModelEngine.java
+++ b/org.cowslipyoke.http/src/main/java/org/cowslipyoke/http/HttpModelEngine.java
@@ -27,6 +27,8 @@
   /** Longest stream; twice the longest deadline of a request. */
   private static final long MAX_STREAM_MS = 600_000;
 
+  private static final Either<Failure, Optional<byte[]>> NO_BLOCK = Either.right(Optional.empty());
+
   private final JsonCaller caller;
 
   /** Creates a client whose calls end after {@code timeoutMs}, streams when silent that long. */
@@ -68,7 +70,16 @@
     return caller
         .call("GET", block(key), "", new byte[0])
         .flatMap(RawBody::optional)
-        .map(found -> found.map(HttpConnector.Answer::body));
+        .flatMap(found -> found.map(HttpModelEngine::wholeBlock).orElse(NO_BLOCK));
+  }
+
+  /** Nothing else tells a whole block from one that was cut short. */
+  private static Either<Failure, Optional<byte[]>> wholeBlock(HttpConnector.Answer a) {
+    boolean framed =
+        !a.header("Content-Length").isEmpty() || !a.header("Transfer-Encoding").isEmpty();
+    return framed
+        ? Either.right(Optional.of(a.body()))
+        : Either.left(Failure.of(ErrorKind.PROTOCOL_ERROR, "a block without a length"));
   }
 
   @Override
--- a/org.cowslipyoke.http/src/main/java/org/cowslipyoke/http/HttpPlainService.java
+++ b/org.cowslipyoke.http/src/main/java/org/cowslipyoke/http/HttpPlainService.java
@@ -62,8 +62,17 @@
     long ms = Math.min(deadlineMs, timeoutMs);
     return connector
         .send(new HttpConnector.Call(call.method(), uri, headers, type, call.body(), ms))
-        .map(a -> new Reply(a.status(), passedBack(a.headers()), a.body()))
-        .mapLeft(HttpPlainService::failure);
+        .mapLeft(HttpPlainService::failure)
+        .flatMap(a -> reply(call, a));
+  }
+
+  private static Either<Failure, Reply> reply(Call call, HttpConnector.Answer a) {
+    String id = a.header("X-Request-Id");
+    if (!id.isEmpty() && !id.equals(call.requestId())) {
+      return Either.left(
+          Failure.of(ErrorKind.OUTCOME_UNKNOWN, "the answer belongs to another request"));
+    }
+    return Either.right(new Reply(a.status(), passedBack(a.headers()), a.body()));
   }
 
   private static Failure failure(HttpConnector.Broken b) {
--- a/org.cowslipyoke.test/src/test/java/org/cowslipyoke/http/UnreliableServerTest.java
+++ b/org.cowslipyoke.test/src/test/java/org/cowslipyoke/http/UnreliableServerTest.java
@@ -20,10 +20,13 @@
 import java.util.concurrent.Semaphore;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import org.cowslipyoke.blocks.BlockKey;
+import org.cowslipyoke.errors.ErrorKind;
 import org.cowslipyoke.http.HttpConnector.Answer;
 import org.cowslipyoke.http.HttpConnector.Broken;
 import org.cowslipyoke.http.HttpConnector.Call;
 import org.cowslipyoke.http.HttpConnector.Loss;
+import org.cowslipyoke.platform.PlainService;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
@@ -146,6 +149,39 @@
     assertEquals(arrived.get(), answered);
   }
 
+  /** Answers each request of the first connection with the same text and ends it. */
+  private URI answer(String text) throws IOException {
+    ServerSocket l =
+        accept(
+            1,
+            s -> {
+              readHead(s.getInputStream());
+              s.getOutputStream().write(text.getBytes(ISO_8859_1));
+            });
+    return URI.create("http://127.0.0.1:" + l.getLocalPort());
+  }
+
+  /** Guards against a block that an engine cut short and that is kept as a whole one. */
+  @Test
+  void exportedBlockWithoutLengthIsRefused() throws IOException {
+    URI engine = answer("HTTP/1.1 200 X\r\nConnection: close\r\n\r\nhalf a blo");
+    var block = new HttpModelEngine(connector, engine, CALL_MS).exportBlock(new BlockKey("0".repeat(32)));
+    assertTrue(block.isLeft(), block.toString());
+    assertEquals(ErrorKind.PROTOCOL_ERROR, block.getLeft().kind());
+  }
+
+  /** Guards against an answer of another call that is passed on. */
+  @Test
+  void answerToAnotherCallIsRefused() throws IOException {
+    URI service =
+        answer("HTTP/1.1 200 X\r\nX-Request-Id: other\r\nContent-Length: 6\r\n\r\nsecret");
+    var reply =
+        new HttpPlainService(connector, service, CALL_MS)
+            .call(new PlainService.Call("own", "GET", "/x", List.of(), new byte[0]), CALL_MS);
+    assertTrue(reply.isLeft(), reply.toString());
+    assertEquals(ErrorKind.OUTCOME_UNKNOWN, reply.getLeft().kind());
+  }
+
   /** Fills the queue of connections that wait to be accepted; further ones are not answered. */
   private void fillQueue(ServerSocket l) throws IOException {
     for (int i = 0; i < 3 * QUEUE; i++) {
