--- a/org.cowslipyoke.test/src/test/java/org/cowslipyoke/lease/OrderLeaseTest.java
+++ b/org.cowslipyoke.test/src/test/java/org/cowslipyoke/lease/OrderLeaseTest.java
@@ -217,7 +217,7 @@
     PauseDetector pauses = new PauseDetector(clock);
     detectors.add(pauses);
     OrderLease.Terms terms = new OrderLease.Terms(2_000, 3_000, 3_000, true);
-    return new OrderLease(table, clock, pauses, "s1", () -> token + tokens++, terms);
+    return new OrderLease(table, clock, pauses, "s1", () -> token + tokens++, terms, clock::wallMs);
   }
 
   /** Guards against two processes that take the lease from each other, so that neither acts. */
--- a/org.cowslipyoke/src/main/java/org/cowslipyoke/lease/OrderLease.java
+++ b/org.cowslipyoke/src/main/java/org/cowslipyoke/lease/OrderLease.java
@@ -4,6 +4,7 @@
 import io.vavr.control.Either;
 import java.util.List;
 import java.util.Optional;
+import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 import org.cowslipyoke.errors.ErrorKind;
 import org.cowslipyoke.errors.Failure;
@@ -46,8 +47,8 @@
    * @param marginMs see {@link #MARGIN_MS}
    * @param maxClockSkewMs see {@link #MAX_CLOCK_SKEW_MS}
    * @param sharedClock whether the wall clock is one that all holders read, such as the table's
-   *     own. Then a lease is not taken over before its term ended, and the wait for its holder ends
-   *     with the margin after that
+   *     own, and is never ahead of it. Then a lease is not taken over before its term ended, and the
+   *     wait for its holder ends with the margin after that
    */
   public record Terms(long termMs, long marginMs, long maxClockSkewMs, boolean sharedClock) {}
 
@@ -75,6 +76,7 @@
   private final String key;
   private final Supplier<String> tokens;
   private final Terms terms;
+  private final LongSupplier latestWallMs;
   private @Nullable Held held;
 
   /**
@@ -89,18 +91,32 @@
       PauseDetector pauses,
       String vm,
       Supplier<String> tokens) {
-    this(table, clock, pauses, vm, tokens, new Terms(TERM_MS, MARGIN_MS, MAX_CLOCK_SKEW_MS, false));
+    this(
+        table,
+        clock,
+        pauses,
+        vm,
+        tokens,
+        new Terms(TERM_MS, MARGIN_MS, MAX_CLOCK_SKEW_MS, false),
+        clock::wallMs);
   }
 
-  /** Creates a lease with its own times. */
+  /**
+   * Creates a lease with its own times.
+   *
+   * @param latestWallMs upper bound of the wall clock, from which the term that others see counts:
+   *     where the wall clock is only known from answers, it may lag by the time that they took
+   */
   public OrderLease(
       TransactionalTable table,
       Clock clock,
       PauseDetector pauses,
       String vm,
       Supplier<String> tokens,
-      Terms terms) {
+      Terms terms,
+      LongSupplier latestWallMs) {
     this.terms = terms;
+    this.latestWallMs = latestWallMs;
     this.table = table;
     this.clock = clock;
     this.pauses = pauses;
@@ -179,7 +195,7 @@
     final long pausesBefore = pauses.pauses();
     // The term counts from before the transaction, so it ends here before it ends for others.
     final long endsMs = clock.nowMs() + terms.termMs();
-    final long endsWallMs = clock.wallMs() + terms.termMs();
+    final long endsWallMs = latestWallMs.getAsLong() + terms.termMs();
     Write write = Write.put(key, version, value(token, number, endsWallMs));
     Either<Failure, Boolean> applied = applied(table.commit(List.of(write)), token);
     if (applied.isLeft()) {
