Order weight loads by the versions that servers stated since the list

ServerLoads.weights joins the list with what the incarnation stated in answers and reports; the order of loads and the placement of prompts share it. A restarted server is another incarnation, of which only the list is known.

The predicate of WeightRollout.next is gone with that; reportedLoadMakesRoomForTheNext states the loads instead of passing them.

--- a/org.cowslipyoke.test/src/test/java/org/cowslipyoke/relay/PromptPlacementTest.java
+++ b/org.cowslipyoke.test/src/test/java/org/cowslipyoke/relay/PromptPlacementTest.java
@@ -171,6 +171,19 @@
     assertEquals(2, plan(RelayFixture.prompt("o", "d")).orElseThrow().weights());
   }
 
+  /** Guards against statements of a server's last incarnation deciding about the present one. */
+  @Test
+  void restartedServerHasTheWeightsOfTheList() {
+    BackendServer again =
+        new BackendServer(
+            "s1", 2, RelayFixture.GROUP, "s1", 80, "d1", false, 0, 128, Map.of("m", 1));
+    fixture.loads.of(s1).sawWeights(2);
+    fixture.load(2, Map.of(RelayFixture.MODEL, 2), again);
+    assertEquals(1, plan(RelayFixture.prompt("o", "d")).orElseThrow().weights());
+    fixture.loads.of(again).sawWeights(2);
+    assertEquals(2, plan(RelayFixture.prompt("o", "d")).orElseThrow().weights());
+  }
+
   /** Guards against KV cache of other weights or of a walled organisation. */
   @Test
   void saltSeparatesWeightsAndWalledOrganisations() {
--- a/org.cowslipyoke.test/src/test/java/org/cowslipyoke/relay/WeightRolloutTest.java
+++ b/org.cowslipyoke.test/src/test/java/org/cowslipyoke/relay/WeightRolloutTest.java
@@ -1,7 +1,7 @@
 package org.cowslipyoke.relay;
 
+import static java.util.Objects.requireNonNull;
 import static org.junit.jupiter.api.Assertions.assertEquals;
-import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.List;
@@ -12,7 +12,7 @@
 class WeightRolloutTest {
 
   private final RelayFixture fixture = new RelayFixture();
-  private final WeightRollout rollout = new WeightRollout(fixture.clock);
+  private final WeightRollout rollout = new WeightRollout(fixture.clock, fixture.loads);
 
   private FleetState state(int target, int... weights) {
     BackendServer[] servers = new BackendServer[weights.length];
@@ -24,7 +24,7 @@
   }
 
   private List<Order> take(FleetState s) {
-    List<Order> orders = rollout.next(s, o -> false);
+    List<Order> orders = rollout.next(s);
     orders.forEach(rollout::underWay);
     return orders;
   }
@@ -35,7 +35,7 @@
     assertEquals(2, take(s).size());
     assertTrue(take(s).isEmpty());
     assertEquals(2, take(state(2, 2, 2, 1, 1, 1, 1)).size());
-    assertFalse(WeightRollout.isDue(state(2, 2, 2, 2, 2, 2, 2)));
+    assertTrue(rollout.behind(state(2, 2, 2, 2, 2, 2, 2)).isEmpty());
   }
 
   /**
@@ -72,10 +72,18 @@
   @Test
   void busyServerIsAskedAgainSoon() {
     FleetState s = state(2, 1);
-    rollout.next(s, o -> false).forEach(rollout::busy);
-    assertTrue(rollout.next(s, o -> false).isEmpty());
+    rollout.next(s).forEach(rollout::busy);
+    assertTrue(rollout.next(s).isEmpty());
     fixture.clock.advance(WeightRollout.BUSY_MS);
-    assertEquals(1, rollout.next(s, o -> false).size());
+    assertEquals(1, rollout.next(s).size());
+  }
+
+  private static List<String> ids(List<Order> orders) {
+    return orders.stream().map(o -> o.server().id()).toList();
+  }
+
+  private void stated(FleetState s, String id, int version) {
+    fixture.loads.of(requireNonNull(s.servers().get(id))).sawWeights(version);
   }
 
   /** A report is newer than the server's entry in the list. */
@@ -83,7 +91,63 @@
   void reportedLoadMakesRoomForTheNext() {
     FleetState s = state(2, 1, 1, 1, 1);
     take(s);
-    List<Order> next = rollout.next(s, o -> List.of("s0", "s1").contains(o.server().id()));
-    assertEquals(List.of("s2", "s3"), next.stream().map(o -> o.server().id()).toList());
+    stated(s, "s0", 2);
+    stated(s, "s1", 2);
+    assertEquals(List.of("s2", "s3"), ids(rollout.next(s)));
+    stated(s, "s2", 2);
+    stated(s, "s3", 2);
+    assertTrue(rollout.behind(s).isEmpty());
+  }
+
+  /**
+   * Guards against a server that loaded the version before a moment ago being ordered to the named
+   * one before a server that is two versions behind: the list lags by a second.
+   */
+  @Test
+  void versionsThatServersStatedDecideTheOrderOfLoads() {
+    FleetState s = state(3, 1, 1, 1, 1);
+    stated(s, "s0", 2);
+    stated(s, "s1", 2);
+    assertEquals(List.of("s2", "s3"), ids(rollout.next(s)));
+    assertEquals(List.of("s2", "s3", "s0", "s1"), ids(rollout.behind(s)));
+  }
+
+  /** Guards against a list that is newer than the last statement being passed over. */
+  @Test
+  void newerEntryInTheListCounts() {
+    FleetState s = state(3, 1, 2, 2);
+    stated(s, "s0", 2);
+    stated(s, "s1", 1);
+    s = state(3, 2, 3, 2);
+    assertEquals(List.of("s0", "s2"), ids(rollout.behind(s)));
+  }
+
+  /**
+   * Guards against statements of a server's last incarnation: it may have started again with the
+   * weights that it had before its load ended.
+   */
+  @Test
+  void restartedServerIsKnownByTheListAlone() {
+    FleetState s = state(3, 1, 2);
+    stated(s, "s0", 3);
+    assertEquals(List.of("s1"), ids(rollout.behind(s)));
+    fixture.load(
+        3,
+        Map.of(RelayFixture.MODEL, 3),
+        new BackendServer(
+            "s0", 2, RelayFixture.GROUP, "s0", 80, "d1", false, 0, 128, Map.of("m", 1)),
+        RelayFixture.server("s1", 2));
+    assertEquals(List.of("s0", "s1"), ids(rollout.next(fixture.state.get())));
+  }
+
+  /** Guards against an order to a server that does not hold the model, whatever it stated. */
+  @Test
+  void serverWithoutTheModelGetsNoOrder() {
+    FleetState s = state(2, 1);
+    BackendServer other =
+        new BackendServer("o", 1, "other", "o", 80, "d1", false, 0, 8, Map.of());
+    fixture.load(2, Map.of(RelayFixture.MODEL, 2), RelayFixture.server("s0", 1), other);
+    fixture.loads.of(other).sawWeights(1);
+    assertEquals(ids(rollout.behind(s)), ids(rollout.behind(fixture.state.get())));
   }
 }
--- a/org.cowslipyoke/src/main/java/org/cowslipyoke/relay/PromptPlacement.java
+++ b/org.cowslipyoke/src/main/java/org/cowslipyoke/relay/PromptPlacement.java
@@ -160,7 +160,7 @@
 
   private @Nullable Option option(Question q, BackendServer server, int rank) {
     Prompt p = q.prompt();
-    int weights = weights(server, p.model());
+    int weights = loads.weights(server, p.model());
     if (weights == 0) {
       return null;
     }
@@ -206,16 +206,10 @@
     boolean inPlace =
         target.foundAtStart()
             && q.candidates().stream()
-                .anyMatch(s -> weights(s, target.model()) >= target.version());
+                .anyMatch(s -> loads.weights(s, target.model()) >= target.version());
     return inPlace || target.isFinal(clock.nowMs(), oldWeightsMaxMs);
   }
 
-  /** Returns the newest version that a server stated, 0 if it does not hold the model. */
-  private int weights(BackendServer server, String model) {
-    Integer listed = server.weights(model);
-    return listed == null ? 0 : Math.max(listed, loads.of(server).weights());
-  }
-
   private double memoryWaitMs(Question q, Load load, long tokens) {
     long capacity = q.group().engine() == null ? 0 : q.group().engine().cacheTokens();
     return EngineEstimate.memoryWaitMs(load, tokens, capacity, loads.residenceMs());
--- a/org.cowslipyoke/src/main/java/org/cowslipyoke/relay/ServerLoads.java
+++ b/org.cowslipyoke/src/main/java/org/cowslipyoke/relay/ServerLoads.java
@@ -56,6 +56,17 @@
     return all;
   }
 
+  /**
+   * Returns the newest version of a model's weights that is known of a server, 0 if it does not
+   * hold the model: by its entry in the list, which lags by a second, and by what it stated since.
+   * Within an incarnation versions only grow, so the greater one is the newer one. Statements count
+   * for their incarnation: of a restarted server only the list is known.
+   */
+  public int weights(BackendServer server, String model) {
+    Integer listed = server.weights(model);
+    return listed == null ? 0 : Math.max(listed, of(server).weights());
+  }
+
   /** Returns the load of a server. */
   public ServerLoad of(BackendServer server) {
     return loads.get(server.incarnation(), k -> new ServerLoad(clock));
--- a/org.cowslipyoke/src/main/java/org/cowslipyoke/relay/WeightRollout.java
+++ b/org.cowslipyoke/src/main/java/org/cowslipyoke/relay/WeightRollout.java
@@ -5,7 +5,6 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.function.Predicate;
 import org.cowslipyoke.util.Clock;
 
 /**
@@ -40,25 +39,22 @@
   private record Ordered(int version, long atMs) {}
 
   private final Clock clock;
+  private final ServerLoads loads;
   private final Map<String, Ordered> ordered = new HashMap<>();
 
-  /** Creates the decision. */
-  public WeightRollout(Clock clock) {
-    this.clock = clock;
-  }
-
-  /** Returns whether a server that takes part has older weights than were named. */
-  public static boolean isDue(FleetState s) {
-    return !behind(s).isEmpty();
-  }
-
   /**
-   * Returns the orders to give now.
+   * Creates the decision.
    *
-   * @param isLoaded whether a server reported the version before its entry in the list did
+   * @param loads what servers stated of their weights since their entry in the list
    */
-  public List<Order> next(FleetState s, Predicate<Order> isLoaded) {
-    List<Order> behind = behind(s).stream().filter(o -> !isLoaded.test(o)).toList();
+  public WeightRollout(Clock clock, ServerLoads loads) {
+    this.clock = clock;
+    this.loads = loads;
+  }
+
+  /** Returns the orders to give now. */
+  public List<Order> next(FleetState s) {
+    List<Order> behind = behind(s);
     ordered.keySet().retainAll(behind.stream().map(o -> o.server().incarnation()).toList());
     Map<String, Integer> loading = new HashMap<>();
     List<Order> waiting = new ArrayList<>();
@@ -102,17 +98,17 @@
   }
 
   /**
-   * Returns an order for each server whose entry states older weights than were named, those with
-   * the oldest weights first: their time to be used ends first.
+   * Returns an order for each server that has older weights than were named, those with the oldest
+   * weights first: their time to be used ends first.
    */
-  public static List<Order> behind(FleetState s) {
+  public List<Order> behind(FleetState s) {
     record Behind(Order order, int has) {}
 
     List<Behind> behind = new ArrayList<>();
     for (BackendServer server : s.servers().values()) {
       for (WeightTarget t : s.targets().values()) {
-        Integer has = server.weights(t.model());
-        if (has != null && has < t.version() && !server.leaving()) {
+        int has = loads.weights(server, t.model());
+        if (has > 0 && has < t.version() && !server.leaving()) {
           behind.add(new Behind(new Order(server, t.model(), t.version()), has));
         }
       }
