Read the events of a restarted place from the first one

After a restart an engine or a store counts its events anew. The reader went on with the next number of the new count, so the events before it were never read: parts of the new epoch stayed unknown. The reader asks from the first event when the epoch has changed.

CacheReadersTest runs the readers against stand-ins of an engine and a store. CacheReadersTest.restartForgetsContentsAndReadsFromTheFirstEvent failed before for both.

--- a/org.cowslipyoke/src/main/java/org/cowslipyoke/relay/CacheContents.java
+++ b/org.cowslipyoke/src/main/java/org/cowslipyoke/relay/CacheContents.java
@@ -46,15 +46,17 @@
   }
 
   /**
-   * Takes an answer to a request for events.
+   * Takes an answer to a request for events. A restarted place counts its events anew, so those
+   * before the number that was asked for are not among these: they are read next, from the first.
    *
    * @param lost whether events are missing before the first of these
    * @param sentMs monotonic time at which the request was sent
-   * @return whether the contents have to be read as a whole
+   * @return whether the contents are not known as a whole now
    */
   public synchronized boolean events(
       long newEpoch, long newNext, boolean lost, List<Change> changes, long sentMs) {
     boolean restarted = newEpoch != epoch;
+    boolean first = epoch < 0;
     if (restarted) {
       parts.clear();
       usedTokens = 0;
@@ -62,7 +64,7 @@
       epochSinceMs = sentMs;
     }
     changes.forEach(this::apply);
-    next = newNext;
+    next = restarted && !first ? 0 : newNext;
     readMs = sentMs;
     aliveMs = sentMs;
     return restarted || lost;
