--- a/org.cowslipyoke.test/src/test/java/org/cowslipyoke/relay/WeightRolloutTest.java
+++ b/org.cowslipyoke.test/src/test/java/org/cowslipyoke/relay/WeightRolloutTest.java
@@ -144,8 +144,7 @@
   @Test
   void serverWithoutTheModelGetsNoOrder() {
     FleetState s = state(2, 1);
-    BackendServer other =
-        new BackendServer("o", 1, "other", "o", 80, "d1", false, 0, 8, Map.of());
+    BackendServer other = new BackendServer("o", 1, "other", "o", 80, "d1", false, 0, 8, Map.of());
     fixture.load(2, Map.of(RelayFixture.MODEL, 2), RelayFixture.server("s0", 1), other);
     fixture.loads.of(other).sawWeights(1);
     assertEquals(ids(rollout.behind(s)), ids(rollout.behind(fixture.state.get())));
--- a/org.cowslipyoke/src/main/java/org/cowslipyoke/lease/OrderLease.java
+++ b/org.cowslipyoke/src/main/java/org/cowslipyoke/lease/OrderLease.java
@@ -47,8 +47,8 @@
    * @param marginMs see {@link #MARGIN_MS}
    * @param maxClockSkewMs see {@link #MAX_CLOCK_SKEW_MS}
    * @param sharedClock whether the wall clock is one that all holders read, such as the table's
-   *     own, and is never ahead of it. Then a lease is not taken over before its term ended, and the
-   *     wait for its holder ends with the margin after that
+   *     own, and is never ahead of it. Then a lease is not taken over before its term ended, and
+   *     the wait for its holder ends with the margin after that
    */
   public record Terms(long termMs, long marginMs, long maxClockSkewMs, boolean sharedClock) {}
 
