Refuse requests that crash each server that runs them

Cause: a request that crashes each server that begins to run it comes again at any entry, and the path of the users' platform passed it on each time.

CrashSuspects counts runs that ended with the loss of the connection to their server, by fingerprint of the request and incarnation of the server. After three such runs, one after the other, the request is answered SUSPECTED (503, not run, with the time to come back) for 60 s, and ten times as long after each further crash. A success anywhere, a later answer of the server, or a request that explains the crash better exonerates it. Entries exchange what they saw in datagrams beside the reports of loads.

Tests: of CrashingRequestsHttpTest, requestThatCrashedThreeServersReachesNoFourth, entryStopsRepeatingAtTheThirdCrash and crashInTheMiddleOfStreamsCounts were seen to fail on the code before (4th arrival at a server, 502 instead of 503); all pass now, with CrashSuspectsTest, SuspectReportCodecTest, LoadExchangeTest, LoadReportCodecTest and RelayHttpTest.

--- a/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/LoadExchange.java
+++ b/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/LoadExchange.java
@@ -6,6 +6,7 @@
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
@@ -15,15 +16,20 @@
 import org.cowslipyoke.relay.PeerLoads;
 import org.cowslipyoke.relay.PeerLoads.Report;
 import org.cowslipyoke.relay.ServerLoads;
+import org.cowslipyoke.suspect.CrashSuspects;
+import org.cowslipyoke.suspect.SuspectReport;
 import org.cowslipyoke.transport.LoadReportCodec;
+import org.cowslipyoke.transport.SuspectReportCodec;
 import org.cowslipyoke.util.Clock;
 import org.cowslipyoke.util.MalformedAnswerException;
 
 /**
- * Tells the other entries what work this one has at the servers, and takes their reports.
+ * Tells the other entries what work this one has at the servers and which requests are suspected to
+ * crash servers, and takes their reports.
  *
- * <p>Datagrams, because only the newest report counts: one that is lost is replaced by the next,
- * and none waits behind another on a connection that went silent.
+ * <p>Datagrams, because only the newest report of loads counts: one that is lost is replaced by the
+ * next, and none waits behind another on a connection that went silent. Suspects are told several
+ * times.
  */
 public final class LoadExchange {
 
@@ -39,6 +45,7 @@
   private final long startedMs;
   private final ServerLoads loads;
   private final PeerLoads received;
+  private final CrashSuspects suspects;
   private final DatagramSocket socket;
   private volatile List<InetSocketAddress> peers = List.of();
   private volatile Set<InetAddress> known = Set.of();
@@ -51,11 +58,17 @@
    * @throws IllegalStateException if the address can't be used
    */
   public LoadExchange(
-      Clock clock, String vm, InetSocketAddress own, ServerLoads loads, PeerLoads received) {
+      Clock clock,
+      String vm,
+      InetSocketAddress own,
+      ServerLoads loads,
+      PeerLoads received,
+      CrashSuspects suspects) {
     this.vm = vm;
     this.startedMs = clock.wallMs();
     this.loads = loads;
     this.received = received;
+    this.suspects = suspects;
     try {
       this.socket = new DatagramSocket(own);
     } catch (IOException e) {
@@ -106,14 +119,27 @@
     }
   }
 
-  /** Sends a report to all peers. */
+  /** Sends a report of loads, and one of suspects if there is one, to all peers. */
   void send() {
+    Optional<SuspectReport> suspected = suspects.report();
     List<InetSocketAddress> to = peers;
     if (to.isEmpty()) {
       return;
     }
     sequence++;
-    byte[] bytes = LoadReportCodec.encode(new Report(vm, startedMs, sequence, loads.snapshot()));
+    String problem =
+        send(LoadReportCodec.encode(new Report(vm, startedMs, sequence, loads.snapshot())), to);
+    if (suspected.isPresent()) {
+      problem += send(SuspectReportCodec.encode(suspected.get()), to);
+    }
+    if (problem.isEmpty() == sendFailed) {
+      sendFailed = !sendFailed;
+      LOG.info("load reports {}: reason={}", sendFailed ? "lost" : "regained", problem);
+    }
+  }
+
+  /** Returns the last problem, empty if there was none. */
+  private String send(byte[] bytes, List<InetSocketAddress> to) {
     String problem = "";
     for (InetSocketAddress peer : to) {
       try {
@@ -122,10 +148,7 @@
         problem = peer + " " + e.getMessage();
       }
     }
-    if (problem.isEmpty() == sendFailed) {
-      sendFailed = !sendFailed;
-      LOG.info("load reports {}: reason={}", sendFailed ? "lost" : "regained", problem);
-    }
+    return problem;
   }
 
   private void receive() {
@@ -135,18 +158,26 @@
         DatagramPacket packet = new DatagramPacket(buffer, buffer.length);
         socket.receive(packet);
         if (known.contains(packet.getAddress())) {
-          received.received(LoadReportCodec.decode(buffer, packet.getLength()));
+          take(buffer, packet.getLength());
         }
       } catch (MalformedAnswerException e) {
-        LOG.warn("load report ignored: reason={}", e.getMessage());
+        LOG.warn("report ignored: reason={}", e.getMessage());
       } catch (IOException e) {
         if (!socket.isClosed()) {
-          LOG.warn("load report not received: reason={}", e.toString());
+          LOG.warn("report not received: reason={}", e.toString());
         }
       }
     }
   }
 
+  private void take(byte[] bytes, int length) throws MalformedAnswerException {
+    if (SuspectReportCodec.isReport(bytes, length)) {
+      suspects.received(SuspectReportCodec.decode(bytes, length));
+    } else {
+      received.received(LoadReportCodec.decode(bytes, length));
+    }
+  }
+
   /** Stops to receive. */
   public void close() {
     socket.close();
--- a/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/Relay.java
+++ b/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/Relay.java
@@ -18,6 +18,7 @@
 import org.cowslipyoke.relay.ServerLoads;
 import org.cowslipyoke.relay.ServicePlacement;
 import org.cowslipyoke.relay.StateHolder;
+import org.cowslipyoke.suspect.CrashSuspects;
 import org.cowslipyoke.util.Clock;
 import org.eclipse.jetty.client.HttpClient;
 import org.eclipse.jetty.http.UriCompliance;
@@ -77,6 +78,7 @@
       long callerIdleMs) {}
 
   private final Clock clock;
+  private final CrashSuspects suspects;
   private final Server server;
   private final ServerConnector connector;
   private final RelayHandler handler;
@@ -96,6 +98,7 @@
       QueuedThreadPool threads,
       RandomGenerator random) {
     this.clock = clock;
+    this.suspects = new CrashSuspects(clock);
     this.timers = Executors.newSingleThreadScheduledExecutor(Relay::timerThread);
     HttpConnector.Limits limits =
         new HttpConnector.Limits(MAX_CONNECTIONS, MAX_CONNECTIONS, CONNECT_MS, 1 << 20);
@@ -122,6 +125,7 @@
             loads,
             new ColdShare(clock),
             new RepeatBudget(clock, o.budgetWindowMs(), o.budgetRatio(), o.budgetConstant()),
+            suspects,
             new RelayMetrics(meters));
     this.handler = new RelayHandler(services);
     this.server = new Server(threads);
@@ -144,6 +148,11 @@
     return new InetSocketAddress(connector.getHost(), connector.getLocalPort());
   }
 
+  /** Returns the requests that are suspected to crash servers. */
+  public CrashSuspects suspects() {
+    return suspects;
+  }
+
   /** Returns the number of requests in service. */
   public int running() {
     return handler.running();
--- a/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/RelayAttempt.java
+++ b/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/RelayAttempt.java
@@ -1,6 +1,7 @@
 package org.cowslipyoke.daemon.relay;
 
 import java.io.ByteArrayOutputStream;
+import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
@@ -211,6 +212,7 @@
     }
     AnswerHead h = head;
     if (result.isFailed() || h == null) {
+      noteLostServer(result.getFailure());
       broken(shortened(result.getFailure()));
       return;
     }
@@ -221,6 +223,7 @@
     } else if (h.misdirected()) {
       exchange.attemptEnded(this, AttemptEnd.MISDIRECTED, "status " + h.status());
     } else if (h.notRun()) {
+      exchange.services().suspects().answered(server.incarnation(), startMs);
       load.refused(plan != null && exchange.isReplaced(plan.weights()));
       exchange.attemptEnded(this, AttemptEnd.REFUSED, "status " + h.status());
     } else {
@@ -228,7 +231,17 @@
     }
   }
 
+  /**
+   * Only the loss of the connection can be a crash: not a time-out, and not bytes without sense.
+   */
+  private void noteLostServer(@Nullable Throwable failure) {
+    if (sent && failure instanceof IOException && !exchange.isOver()) {
+      exchange.crashes().serverLost(server, startMs);
+    }
+  }
+
   private void answered(AnswerHead h) {
+    exchange.services().suspects().answered(server.incarnation(), startMs);
     load.answered(exchange.services().clock().nowMs() - startMs);
     if (streaming) {
       if (exchange.run().isAnswerBegun() || events.rest().length > 0) {
@@ -254,6 +267,9 @@
   /** Passes the collected answer on to the caller. */
   void passOn() {
     AnswerHead h = head;
+    if (h != null && h.status() / 100 == 2) {
+      exchange.crashes().completed();
+    }
     exchange.answered();
     exchange
         .caller()
@@ -264,6 +280,7 @@
   }
 
   private void endStream(AnswerHead h) {
+    exchange.crashes().completed();
     if (!exchange.run().isAnswerBegun()) {
       exchange
           .caller()
--- a/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/RelayExchange.java
+++ b/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/RelayExchange.java
@@ -23,6 +23,7 @@
 import org.cowslipyoke.relay.RelayRun.Next;
 import org.cowslipyoke.relay.RequestKind;
 import org.cowslipyoke.relay.ServerGroup;
+import org.cowslipyoke.relay.Tenancy;
 import org.cowslipyoke.relay.WeightTarget;
 import org.jspecify.annotations.Nullable;
 
@@ -43,6 +44,7 @@
   private final long startMs;
   private final long endMs;
   private final RelayRun run;
+  private final CrashWatch crashes;
   private final Consumer<RelayExchange> onDone;
   private @Nullable RelayAttempt attempt;
   private @Nullable Future<?> timer;
@@ -65,6 +67,7 @@
     this.startMs = startMs;
     this.endMs = startMs + Math.min(request.waitMs(), admitted.route().timeoutMs());
     this.onDone = onDone;
+    this.crashes = new CrashWatch(services, request, organisation(), body);
     this.run =
         new RelayRun(
             admitted.route(),
@@ -101,6 +104,10 @@
     return run;
   }
 
+  CrashWatch crashes() {
+    return crashes;
+  }
+
   String service() {
     return service;
   }
@@ -134,11 +141,15 @@
     return t != null && weights < t.version();
   }
 
+  private @Nullable String organisation() {
+    Tenancy t = admitted.tenancy();
+    return t == null ? null : t.organisation();
+  }
+
   /** The head of a request to a server. */
   Outbound outbound(BackendServer server, @Nullable PromptPlan plan) {
-    String organisation = admitted.tenancy() == null ? null : admitted.tenancy().organisation();
     return new Outbound(
-        request, server, leftMs(), organisation, admitted.priority(), plan, run.lastEventId());
+        request, server, leftMs(), organisation(), admitted.priority(), plan, run.lastEventId());
   }
 
   private void tryNext() {
@@ -168,6 +179,10 @@
       @Nullable BackendServer server, @Nullable PromptPlan plan, Failure refusal) {}
 
   private Placed place(FleetState state) {
+    Optional<Failure> held = crashes.refusal();
+    if (held.isPresent()) {
+      return new Placed(null, null, held.get());
+    }
     Failure none = new Failure(ErrorKind.NO_SERVER, "no server is available", 200);
     ServerGroup group = admitted.desired().groups().get(service);
     if (group == null) {
--- a/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/RelayMetrics.java
+++ b/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/RelayMetrics.java
@@ -34,6 +34,11 @@
     counter("cowslipyoke_relay_own_answers", "kind", kind.wireName()).increment();
   }
 
+  /** Counts a decision about a request that is suspected to crash servers. */
+  void suspect(String decision) {
+    counter("cowslipyoke_relay_suspects", "decision", decision).increment();
+  }
+
   private Counter counter(String name, String... tags) {
     return Counter.builder(name).tags(tags).register(meters);
   }
--- a/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/RelayServices.java
+++ b/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/RelayServices.java
@@ -8,6 +8,7 @@
 import org.cowslipyoke.relay.ServerLoads;
 import org.cowslipyoke.relay.ServicePlacement;
 import org.cowslipyoke.relay.StateHolder;
+import org.cowslipyoke.suspect.CrashSuspects;
 import org.cowslipyoke.util.Clock;
 import org.eclipse.jetty.client.HttpClient;
 
@@ -24,4 +25,5 @@
     ServerLoads loads,
     ColdShare cold,
     RepeatBudget repeats,
+    CrashSuspects suspects,
     RelayMetrics metrics) {}
--- a/org.cowslipyoke.test/src/test/java/org/cowslipyoke/daemon/relay/LoadExchangeTest.java
+++ b/org.cowslipyoke.test/src/test/java/org/cowslipyoke/daemon/relay/LoadExchangeTest.java
@@ -1,6 +1,7 @@
 package org.cowslipyoke.daemon.relay;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.net.DatagramPacket;
 import java.net.DatagramSocket;
@@ -15,6 +16,7 @@
 import org.cowslipyoke.relay.PeerLoads.Load;
 import org.cowslipyoke.relay.PromptWork;
 import org.cowslipyoke.relay.ServerLoads;
+import org.cowslipyoke.suspect.CrashSuspects;
 import org.cowslipyoke.util.Clock;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
@@ -30,12 +32,20 @@
   private final ServerLoads loads1 = new ServerLoads(clock);
   private final PeerLoads peers1 = new PeerLoads(clock);
   private final PeerLoads peers2 = new PeerLoads(clock);
-  private final LoadExchange e1 = exchange("e1", loads1, peers1);
-  private final LoadExchange e2 = exchange("e2", new ServerLoads(clock), peers2);
+  private final CrashSuspects suspects1 = new CrashSuspects(clock);
+  private final CrashSuspects suspects2 = new CrashSuspects(clock);
+  private final LoadExchange e1 = exchange("e1", loads1, peers1, suspects1);
+  private final LoadExchange e2 = exchange("e2", new ServerLoads(clock), peers2, suspects2);
 
-  private LoadExchange exchange(String vm, ServerLoads loads, PeerLoads peers) {
+  private LoadExchange exchange(
+      String vm, ServerLoads loads, PeerLoads peers, CrashSuspects suspects) {
     return new LoadExchange(
-        clock, vm, new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), loads, peers);
+        clock,
+        vm,
+        new InetSocketAddress(InetAddress.getLoopbackAddress(), 0),
+        loads,
+        peers,
+        suspects);
   }
 
   @AfterEach
@@ -68,6 +78,23 @@
     assertEquals(Load.NONE, peers1.at(SERVER));
   }
 
+  /** Guards against a request that crashes servers again through an entry that saw no crash. */
+  @Test
+  void entriesLearnOfEachOthersSuspects() throws Exception {
+    e1.setPeers(List.of(e2.address()));
+    e2.setPeers(List.of(e1.address()));
+    e1.start(timers);
+    e2.start(timers);
+    for (int i = 0; i < CrashSuspects.MIN_CRASHES; i++) {
+      suspects1.crashed(7, "s" + i, clock.nowMs());
+    }
+    long endMs = clock.nowMs() + DEADLINE_MS;
+    while (!suspects2.verdict(7).isHeld() && clock.nowMs() < endMs) {
+      Thread.sleep(5);
+    }
+    assertTrue(suspects2.verdict(7).isHeld());
+  }
+
   /** Guards against a receiver that ends because somebody sent it bytes. */
   @Test
   void otherDatagramsDoNotStopTheReceiver() throws Exception {
--- /dev/null
+++ b/org.cowslipyoke.transport/src/main/java/org/cowslipyoke/transport/SuspectReportCodec.java
@@ -0,0 +1,105 @@
+package org.cowslipyoke.transport;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.cowslipyoke.suspect.SuspectReport;
+import org.cowslipyoke.suspect.SuspectReport.CrashedRun;
+import org.cowslipyoke.util.MalformedAnswerException;
+import org.msgpack.core.MessageBufferPacker;
+import org.msgpack.core.MessagePack;
+import org.msgpack.core.MessagePackException;
+import org.msgpack.core.MessageUnpacker;
+
+/**
+ * A report of suspects as one datagram: the array [format, crashes, cleared], where crashes is a
+ * map from a server's incarnation to [fingerprint, age, ran] of each run, and cleared an array of
+ * fingerprints. It goes to the same port as reports of loads, whose array has another length.
+ */
+public final class SuspectReportCodec {
+
+  private static final int FORMAT = 1;
+  private static final int FIELDS = 3;
+
+  /** First byte of a MessagePack array of {@link #FIELDS} elements. */
+  private static final byte FIRST_BYTE = (byte) (0x90 | FIELDS);
+
+  private SuspectReportCodec() {}
+
+  /** Returns whether a datagram claims to be a report of suspects. */
+  public static boolean isReport(byte[] bytes, int length) {
+    return length > 0 && bytes[0] == FIRST_BYTE;
+  }
+
+  /** Encodes a report. */
+  public static byte[] encode(SuspectReport r) {
+    try (MessageBufferPacker p = MessagePack.newDefaultBufferPacker()) {
+      p.packArrayHeader(FIELDS).packInt(FORMAT);
+      p.packMapHeader(r.crashes().size());
+      for (Map.Entry<String, List<CrashedRun>> e : r.crashes().entrySet()) {
+        p.packString(e.getKey()).packArrayHeader(e.getValue().size());
+        for (CrashedRun run : e.getValue()) {
+          p.packArrayHeader(3).packLong(run.fingerprint());
+          p.packLong(run.ageMs()).packLong(run.ranMs());
+        }
+      }
+      p.packArrayHeader(r.cleared().size());
+      for (long f : r.cleared()) {
+        p.packLong(f);
+      }
+      return p.toByteArray();
+    } catch (IOException e) {
+      throw new IllegalStateException("a buffer in memory can't be written", e);
+    }
+  }
+
+  /**
+   * Decodes a datagram.
+   *
+   * @throws MalformedAnswerException if it is no report of this format
+   */
+  public static SuspectReport decode(byte[] bytes, int length) throws MalformedAnswerException {
+    try (MessageUnpacker u = MessagePack.newDefaultUnpacker(bytes, 0, length)) {
+      FieldReader f = new FieldReader(u, length);
+      if (f.header() != FIELDS || f.count() != FORMAT) {
+        throw new MalformedAnswerException("unknown format of a suspect report");
+      }
+      Map<String, List<CrashedRun>> crashes = new HashMap<>();
+      int servers = bounded(u.unpackMapHeader(), length);
+      for (int i = 0; i < servers; i++) {
+        crashes.put(f.name(), runs(f, length));
+      }
+      List<Long> cleared = new ArrayList<>();
+      int n = bounded(f.header(), length);
+      for (int i = 0; i < n; i++) {
+        cleared.add(f.number());
+      }
+      return new SuspectReport(Map.copyOf(crashes), List.copyOf(cleared));
+    } catch (IOException | MessagePackException e) {
+      throw new MalformedAnswerException("suspect report not decoded: " + e);
+    }
+  }
+
+  private static List<CrashedRun> runs(FieldReader f, int length)
+      throws IOException, MalformedAnswerException {
+    List<CrashedRun> runs = new ArrayList<>();
+    int n = bounded(f.header(), length);
+    for (int i = 0; i < n; i++) {
+      if (f.header() != 3) {
+        throw new MalformedAnswerException("malformed run in a suspect report");
+      }
+      runs.add(new CrashedRun(f.number(), f.size(), f.size()));
+    }
+    return List.copyOf(runs);
+  }
+
+  /** Each element has a byte at least, so a larger count is a lie. */
+  private static int bounded(int count, int length) throws MalformedAnswerException {
+    if (count > length) {
+      throw new MalformedAnswerException("count exceeds the datagram: " + count);
+    }
+    return count;
+  }
+}
--- a/org.cowslipyoke/src/main/java/org/cowslipyoke/errors/ErrorKind.java
+++ b/org.cowslipyoke/src/main/java/org/cowslipyoke/errors/ErrorKind.java
@@ -27,6 +27,11 @@
   IN_PROGRESS(409, Outcome.UNKNOWN, true),
   /** Earlier runs of the same request crashed backend servers; this submission did not run. */
   QUARANTINED(422, Outcome.NOT_RUN, false),
+  /**
+   * Servers were lost at earlier runs of the same request; this submission did not run. The request
+   * is held back for a time and not for good, because only lost connections speak against it.
+   */
+  SUSPECTED(503, Outcome.NOT_RUN, true),
   /** This request crashed the backend servers that ran it. */
   CRASHED_SERVERS(502, Outcome.UNKNOWN, false),
   /** The organisation exceeded its rate or concurrency limit. */
