Count only losses after the whole request and refute them by signs of life

Three connections of its entry had been reset within 90 ms; one of the three was a kept one that was dead before the request was written.

Change: a loss counts only after the whole request was written. Bytes that come 300 ms after a loss, not only whole answers, are a sign of life of the server, and entries tell each other such signs.

Tests: bytesThatMayHaveWaitedAreNoSignOfLife is new, serversThatAnswerLaterDidNotCrash now asks for all entries.

--- a/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/RelayAttempt.java
+++ b/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/RelayAttempt.java
@@ -43,6 +43,7 @@
   private final ByteArrayOutputStream whole = new ByteArrayOutputStream();
   private final long startMs;
   private volatile boolean sent;
+  private volatile boolean written;
   private volatile @Nullable Request jetty;
   private volatile @Nullable AnswerHead head;
   private HttpFields headers = HttpFields.EMPTY;
@@ -96,7 +97,8 @@
             .headers(h -> h.clear().add(out))
             .timeout(leftMs + JETTY_GRACE_MS, TimeUnit.MILLISECONDS)
             .idleTimeout(leftMs + JETTY_GRACE_MS, TimeUnit.MILLISECONDS)
-            .onRequestBegin(x -> sent = true);
+            .onRequestBegin(x -> sent = true)
+            .onRequestSuccess(x -> written = true);
     if (exchange.body().length > 0) {
       r.body(new BytesRequestContent(out.get("Content-Type"), exchange.body()));
     }
@@ -133,6 +135,7 @@
       promptRead = true;
       noteFirstAnswer();
     }
+    exchange.services().suspects().receivedFrom(server.incarnation());
     if (!streaming) {
       collect(response, bytes);
       return;
@@ -232,10 +235,11 @@
   }
 
   /**
-   * Only the loss of the connection can be a crash: not a time-out, and not bytes without sense.
+   * Only the loss of the connection after the whole request was written can be a crash: not a
+   * time-out, not bytes without sense, not a kept connection that was lost before.
    */
   private void noteLostServer(@Nullable Throwable failure) {
-    if (sent && failure instanceof IOException && !exchange.isOver()) {
+    if (written && failure instanceof IOException && !exchange.isOver()) {
       exchange.crashes().serverLost(server, startMs);
     }
   }
--- a/org.cowslipyoke.transport/src/main/java/org/cowslipyoke/transport/SuspectReportCodec.java
+++ b/org.cowslipyoke.transport/src/main/java/org/cowslipyoke/transport/SuspectReportCodec.java
@@ -14,14 +14,15 @@
 import org.msgpack.core.MessageUnpacker;
 
 /**
- * A report of suspects as one datagram: the array [format, crashes, cleared], where crashes is a
- * map from a server's incarnation to [fingerprint, age, ran] of each run, and cleared an array of
- * fingerprints. It goes to the same port as reports of loads, whose array has another length.
+ * A report of suspects as one datagram: the array [format, crashes, cleared, alive], where crashes
+ * is a map from a server's incarnation to [fingerprint, age, ran] of each run, cleared an array of
+ * fingerprints, and alive a map from a server's incarnation to an age. It goes to the same port as
+ * reports of loads, whose array has another length.
  */
 public final class SuspectReportCodec {
 
   private static final int FORMAT = 1;
-  private static final int FIELDS = 3;
+  private static final int FIELDS = 4;
 
   /** First byte of a MessagePack array of {@link #FIELDS} elements. */
   private static final byte FIRST_BYTE = (byte) (0x90 | FIELDS);
@@ -49,6 +50,10 @@
       for (long f : r.cleared()) {
         p.packLong(f);
       }
+      p.packMapHeader(r.aliveAgesMs().size());
+      for (Map.Entry<String, Long> e : r.aliveAgesMs().entrySet()) {
+        p.packString(e.getKey()).packLong(e.getValue());
+      }
       return p.toByteArray();
     } catch (IOException e) {
       throw new IllegalStateException("a buffer in memory can't be written", e);
@@ -76,7 +81,12 @@
       for (int i = 0; i < n; i++) {
         cleared.add(f.number());
       }
-      return new SuspectReport(Map.copyOf(crashes), List.copyOf(cleared));
+      Map<String, Long> alive = new HashMap<>();
+      int signs = bounded(u.unpackMapHeader(), length);
+      for (int i = 0; i < signs; i++) {
+        alive.put(f.name(), f.number());
+      }
+      return new SuspectReport(Map.copyOf(crashes), List.copyOf(cleared), Map.copyOf(alive));
     } catch (IOException | MessagePackException e) {
       throw new MalformedAnswerException("suspect report not decoded: " + e);
     }
--- a/org.cowslipyoke/src/main/java/org/cowslipyoke/suspect/CrashSuspects.java
+++ b/org.cowslipyoke/src/main/java/org/cowslipyoke/suspect/CrashSuspects.java
@@ -21,8 +21,8 @@
  *
  * <p>A request is held back after {@link #MIN_CRASHES} runs, one after the other, that ended with
  * the loss of different servers. Three findings exonerate it: it is answered whole anywhere; the
- * lost server answers a request that was sent later, so only the connection was lost; the crash was
- * shared with a request that more crashes speak against. Thread-safe, no call waits for I/O.
+ * server gives a sign of life later, so only the connection was lost; the crash was shared with a
+ * request that more crashes speak against. Thread-safe, no call waits for I/O.
  */
 public final class CrashSuspects {
 
@@ -59,6 +59,18 @@
   /** Interval of reports without news, in milliseconds. */
   static final long ROUND_MS = 1_000;
 
+  /** Time after a crash in which a sign of life of its server is told to the others, in ms. */
+  static final long REFUTE_MS = 10_000;
+
+  /**
+   * Time for which bytes may wait between a server and this process, in milliseconds: bytes that
+   * are read later than this after the loss of a connection were sent after it.
+   */
+  static final long CONTENT_DELAY_MS = 300;
+
+  /** Time that a report may take, in milliseconds, by which a reported age is too small. */
+  static final long REPORT_DELAY_MS = 200;
+
   /** Encoded size of a report, estimated from above, in bytes; LoadExchange sends 16,384. */
   static final int MAX_REPORT_BYTES = 12_000;
 
@@ -142,11 +154,20 @@
       return;
     }
     synchronized (this) {
-      if (aliveMs.size() >= MAX_SERVERS && !aliveMs.containsKey(incarnation)) {
-        aliveMs.remove(aliveMs.keySet().iterator().next());
-      }
-      aliveMs.merge(incarnation, startMs, Math::max);
+      alive(incarnation, startMs);
+    }
+  }
+
+  /** Records that a part of an answer came from a server. */
+  public void receivedFrom(String incarnation) {
+    answered(incarnation, clock.nowMs() - CONTENT_DELAY_MS);
+  }
+
+  private void alive(String incarnation, long atMs) {
+    if (aliveMs.size() >= MAX_SERVERS && !aliveMs.containsKey(incarnation)) {
+      aliveMs.remove(aliveMs.keySet().iterator().next());
     }
+    aliveMs.merge(incarnation, atMs, Math::max);
   }
 
   /** Returns how a request stands. */
@@ -177,8 +198,7 @@
     int bytes = 0;
     for (Map.Entry<Long, Suspect> e : told(now)) {
       for (Crash c : e.getValue().crashes(aliveMs)) {
-        bytes +=
-            RUN_BYTES + (crashes.containsKey(c.incarnation()) ? 0 : 3 * c.incarnation().length());
+        bytes += crashes.containsKey(c.incarnation()) ? RUN_BYTES : bytes(c.incarnation());
         if (bytes <= MAX_REPORT_BYTES) {
           crashes
               .computeIfAbsent(c.incarnation(), k -> new ArrayList<>())
@@ -186,21 +206,47 @@
         }
       }
     }
+    Map<String, Long> alive = aliveAges(now, MAX_REPORT_BYTES - bytes);
     List<Long> clear =
         cleared.entrySet().stream()
             .filter(e -> now < e.getValue().announceUntilMs())
             .map(Map.Entry::getKey)
             .limit(MAX_CLEARED_IN_REPORT)
             .toList();
-    return crashes.isEmpty() && clear.isEmpty()
+    return crashes.isEmpty() && clear.isEmpty() && alive.isEmpty()
         ? Optional.empty()
-        : Optional.of(new SuspectReport(crashes, clear));
+        : Optional.of(new SuspectReport(crashes, clear, alive));
+  }
+
+  /** Returns the ages of the signs of life that refute crashes. */
+  private Map<String, Long> aliveAges(long now, int maxBytes) {
+    Map<String, Long> ages = new HashMap<>();
+    int bytes = 0;
+    for (Suspect s : suspects.values()) {
+      for (Crash c : s.refuted(aliveMs)) {
+        Long at = aliveMs.get(c.incarnation());
+        if (at != null && now - c.atMs() <= REFUTE_MS && !ages.containsKey(c.incarnation())) {
+          bytes += bytes(c.incarnation());
+          if (bytes <= maxBytes) {
+            ages.put(c.incarnation(), now - at);
+          }
+        }
+      }
+    }
+    return ages;
+  }
+
+  private static int bytes(String incarnation) {
+    return RUN_BYTES + 3 * incarnation.length();
   }
 
   /** Takes the report of another process. */
   public synchronized void received(SuspectReport r) {
     long now = clock.nowMs();
     r.cleared().stream().filter(f -> !isCleared(f)).forEach(f -> clear(f, now));
+    if (!none) {
+      r.aliveAgesMs().forEach((i, ageMs) -> alive(i, now - ageMs - REPORT_DELAY_MS));
+    }
     r.crashes()
         .forEach(
             (incarnation, runs) -> {
--- a/org.cowslipyoke/src/main/java/org/cowslipyoke/suspect/Suspect.java
+++ b/org.cowslipyoke/src/main/java/org/cowslipyoke/suspect/Suspect.java
@@ -52,18 +52,25 @@
     return lastMs;
   }
 
-  /** Returns the crashes of servers that are not known to have answered later. */
+  /** Returns the crashes of servers that gave no sign of life later. */
   List<Crash> crashes(Map<String, Long> aliveMs) {
-    List<Crash> all = new ArrayList<>(byIncarnation.size());
-    for (Crash c : byIncarnation.values()) {
-      Long alive = aliveMs.get(c.incarnation());
-      if (alive == null || alive <= c.atMs()) {
-        all.add(c);
-      }
-    }
+    List<Crash> all = new ArrayList<>(byIncarnation.values());
+    all.removeIf(c -> isRefuted(c, aliveMs));
     return all;
   }
 
+  /** Returns the crashes of servers that gave a sign of life later. */
+  List<Crash> refuted(Map<String, Long> aliveMs) {
+    List<Crash> all = new ArrayList<>(byIncarnation.values());
+    all.removeIf(c -> !isRefuted(c, aliveMs));
+    return all;
+  }
+
+  private static boolean isRefuted(Crash c, Map<String, Long> aliveMs) {
+    Long alive = aliveMs.get(c.incarnation());
+    return alive != null && alive > c.atMs();
+  }
+
   /**
    * Returns the largest number of crashes whose runs followed one another. Copies of a request that
    * run side by side when several servers are lost together are one observation.
--- a/org.cowslipyoke/src/main/java/org/cowslipyoke/suspect/SuspectReport.java
+++ b/org.cowslipyoke/src/main/java/org/cowslipyoke/suspect/SuspectReport.java
@@ -8,8 +8,11 @@
  *
  * @param crashes runs that a crash ended, by incarnation of the server
  * @param cleared fingerprints of requests that were answered whole
+ * @param aliveAgesMs time since a server that was taken for lost gave a sign of life, by
+ *     incarnation
  */
-public record SuspectReport(Map<String, List<CrashedRun>> crashes, List<Long> cleared) {
+public record SuspectReport(
+    Map<String, List<CrashedRun>> crashes, List<Long> cleared, Map<String, Long> aliveAgesMs) {
 
   /**
    * A run that ended with the connection to its server.
