Add the command explain: the story of one request from the logs

Cause: whoever is on call has only the logs, and the way from a request's id to its cause was a list of searches by hand over all entries.

The package org.cowslipyoke.pgm.story holds parsing, model and reasoning without I/O.

--- a/org.cowslipyoke.pgm/src/main/java/org/cowslipyoke/pgm/Arguments.java
+++ b/org.cowslipyoke.pgm/src/main/java/org/cowslipyoke/pgm/Arguments.java
@@ -30,7 +30,9 @@
           Texts.CHANGE_ID,
           Texts.LIMIT,
           Texts.HTTP_PORT,
-          Texts.READY_LINES);
+          Texts.READY_LINES,
+          Texts.REQUEST,
+          Texts.WINDOW);
 
   private static final List<String> SWITCHES = List.of(Texts.JSON, Texts.HELP, Texts.VERSION);
 
--- a/org.cowslipyoke.pgm/src/main/java/org/cowslipyoke/pgm/Main.java
+++ b/org.cowslipyoke.pgm/src/main/java/org/cowslipyoke/pgm/Main.java
@@ -1,5 +1,6 @@
 package org.cowslipyoke.pgm;
 
+import java.io.InputStream;
 import java.io.PrintWriter;
 import java.net.URI;
 import java.nio.charset.StandardCharsets;
@@ -42,7 +43,7 @@
           new Platform(
               u -> new HttpTransactionalTable(connector, u, CALL_MS),
               u -> new HttpVmList(connector, u, CALL_MS));
-      code = run(args, out, err, platform, Clock.system());
+      code = run(args, System.in, out, err, platform, Clock.system());
     }
     System.exit(code);
   }
@@ -52,6 +53,17 @@
 
   /** Runs one command and returns the exit code. */
   static int run(String[] args, PrintWriter out, PrintWriter err, Platform platform, Clock clock) {
+    return run(args, InputStream.nullInputStream(), out, err, platform, clock);
+  }
+
+  /** Runs one command that may read standard input and returns the exit code. */
+  static int run(
+      String[] args,
+      InputStream in,
+      PrintWriter out,
+      PrintWriter err,
+      Platform platform,
+      Clock clock) {
     Output output = new Output(out, err, List.of(args).contains("--" + Texts.JSON));
     try {
       Arguments a = Arguments.parse(args);
@@ -60,7 +72,7 @@
       } else if (a.has(Texts.VERSION)) {
         out.println("cowslipyoke " + version());
       } else {
-        command(a, output, platform, clock);
+        command(a, in, output, platform, clock);
       }
       return DONE;
     } catch (UsageException e) {
@@ -73,7 +85,8 @@
     }
   }
 
-  private static void command(Arguments a, Output output, Platform platform, Clock clock)
+  private static void command(
+      Arguments a, InputStream in, Output output, Platform platform, Clock clock)
       throws UsageException, CommandException {
     List<String> words = a.words();
     String first = words.isEmpty() ? "" : words.get(0);
@@ -91,6 +104,7 @@
         }
       }
       case "audit" -> config.audit(table(a, platform));
+      case "explain" -> new ExplainCommand(a, output, in).call();
       case "status" -> new StatusCommand(a, output, platform).call();
       default -> throw unknown(first);
     }
--- /dev/null
+++ b/org.cowslipyoke.pgm/src/main/java/org/cowslipyoke/pgm/story/Progress.java
@@ -0,0 +1,21 @@
+package org.cowslipyoke.pgm.story;
+
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+
+/** How much of an answer had come and how long ago its last byte came. */
+record Progress(long bytes, long agoMs) {
+
+  /** Pause of an answer that is taken for a stall; engines pause less between two tokens. */
+  static final long STALLED_MS = 1_000;
+
+  private static final Pattern TEXT =
+      Pattern.compile("(\\d{1,18}) bytes, the last (\\d{1,18}) ms ago");
+
+  static Progress parse(String text) {
+    Matcher m = TEXT.matcher(text);
+    return m.matches()
+        ? new Progress(Long.parseLong(m.group(1)), Long.parseLong(m.group(2)))
+        : new Progress(0, 0);
+  }
+}
--- /dev/null
+++ b/org.cowslipyoke.test/src/test/java/org/cowslipyoke/pgm/story/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the stories of requests. */
+package org.cowslipyoke.pgm.story;
