--- a/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/RelayExchange.java
+++ b/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/RelayExchange.java
@@ -282,22 +282,21 @@
 
   private void callerLeft() {
     RelayAttempt a = finish();
-    if (a != null) {
-      LOG.info(
-          "caller left: request={} server={} received={} elapsedMs={}",
-          request.id(),
-          a.server().id(),
-          a.progress(),
-          elapsedMs());
-    }
+    LOG.info(
+        "caller left: request={} server={} received={} elapsedMs={}",
+        request.id(),
+        a == null ? "" : a.server().id(),
+        a == null ? "none" : a.progress(),
+        elapsedMs());
     caller.cut(new IllegalStateException("the caller left"));
   }
 
   void cut(String reason) {
     RelayAttempt a = finish();
     LOG.info(
-        "answer cut: request={} reason={} received={} elapsedMs={}",
+        "answer cut: request={} server={} reason={} received={} elapsedMs={}",
         request.id(),
+        a == null ? "" : a.server().id(),
         reason,
         a == null ? "" : a.progress(),
         elapsedMs());
@@ -310,15 +309,18 @@
       return;
     }
     services.metrics().own(f.kind());
+    RelayAttempt a = finish();
     LOG.info(
-        "own answer: request={} route={} kind={} reason={} tries={} elapsedMs={}",
+        "own answer: request={} route={} service={} server={} kind={} reason={} tries={}"
+            + " elapsedMs={}",
         request.id(),
         admitted.route().name(),
+        service,
+        a == null ? "" : a.server().id(),
         f.kind(),
         f.message(),
         run.tries(),
         elapsedMs());
-    finish();
     caller.failure(f, request.id());
   }
 
--- a/org.cowslipyoke.test/src/test/java/org/cowslipyoke/http/UnreliableServerTest.java
+++ b/org.cowslipyoke.test/src/test/java/org/cowslipyoke/http/UnreliableServerTest.java
@@ -165,7 +165,8 @@
   @Test
   void exportedBlockWithoutLengthIsRefused() throws IOException {
     URI engine = answer("HTTP/1.1 200 X\r\nConnection: close\r\n\r\nhalf a blo");
-    var block = new HttpModelEngine(connector, engine, CALL_MS).exportBlock(new BlockKey("0".repeat(32)));
+    var block =
+        new HttpModelEngine(connector, engine, CALL_MS).exportBlock(new BlockKey("0".repeat(32)));
     assertTrue(block.isLeft(), block.toString());
     assertEquals(ErrorKind.PROTOCOL_ERROR, block.getLeft().kind());
   }
