Let one entry read the store's tables for all

Change: TableRefresh decides when an entry reads a table itself. The first reader of a group (rendezvous hash over the live entries, no election) reads at the old interval and tells the others a digest and the store's time; the others read only if the digest differs, or if no confirmation arrives in time, each rank a little later. Content always comes from the store.

Ruled out: the store's feed (the table of servers changes with each heartbeat); passing on content (a stale copy could spread).

--- a/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/PeerReportExchange.java
+++ b/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/PeerReportExchange.java
@@ -10,9 +10,11 @@
 import java.util.Set;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import java.util.stream.Collectors;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
+import org.cowslipyoke.refresh.TableConfirmation;
 import org.cowslipyoke.relay.PeerLoads;
 import org.cowslipyoke.relay.PeerLoads.Report;
 import org.cowslipyoke.relay.ServerLoads;
@@ -20,12 +22,13 @@
 import org.cowslipyoke.suspect.SuspectReport;
 import org.cowslipyoke.transport.LoadReportCodec;
 import org.cowslipyoke.transport.SuspectReportCodec;
+import org.cowslipyoke.transport.TableConfirmationCodec;
 import org.cowslipyoke.util.Clock;
 import org.cowslipyoke.util.MalformedResponseException;
 
 /**
- * Exchanges reports with the other entries: the load that each entry puts on the servers, and the
- * requests suspected to crash servers.
+ * Exchanges reports with the other entries: the load that each entry puts on the servers, the
+ * requests suspected to crash servers, and confirmations of tables in the platform's store.
  *
  * <p>Uses datagrams, because only the newest load report matters: a lost one is replaced by the
  * next, and none is delayed by an unresponsive connection. Suspects are reported repeatedly.
@@ -51,6 +54,7 @@
   private final DatagramSocket socket;
   private volatile List<InetSocketAddress> peers = List.of();
   private volatile Set<InetAddress> known = Set.of();
+  private volatile Consumer<TableConfirmation> onConfirmation = c -> {};
   private long sequence;
   private boolean sendFailed;
 
@@ -92,6 +96,20 @@
     peers = List.copyOf(addresses);
   }
 
+  /** Sets the receiver of other entries' confirmations; must be called before {@link #start}. */
+  public void setConfirmationListener(Consumer<TableConfirmation> listener) {
+    onConfirmation = listener;
+  }
+
+  /** Sends a confirmation to other entries at once, because their reads depend on it. */
+  public void confirm(TableConfirmation c, List<InetSocketAddress> to) {
+    byte[] bytes = TableConfirmationCodec.encode(new TableConfirmationCodec.Message(vm, c));
+    String problem = send(bytes, to);
+    if (!problem.isEmpty()) {
+      LOG.debug("confirmation not sent: table={} reason={}", c.table(), problem);
+    }
+  }
+
   /** Starts sending and receiving. */
   public void start(ScheduledExecutorService timers) {
     Thread t = new Thread(this::receive, "load-reports");
@@ -175,6 +193,8 @@
   private void take(byte[] bytes, int length) throws MalformedResponseException {
     if (SuspectReportCodec.isReport(bytes, length)) {
       suspects.accept(SuspectReportCodec.decode(bytes, length));
+    } else if (TableConfirmationCodec.isConfirmation(bytes, length)) {
+      onConfirmation.accept(TableConfirmationCodec.decode(bytes, length).confirmation());
     } else {
       received.accept(LoadReportCodec.decode(bytes, length));
     }
--- a/org.cowslipyoke/src/main/java/org/cowslipyoke/relay/FleetStateHolder.java
+++ b/org.cowslipyoke/src/main/java/org/cowslipyoke/relay/FleetStateHolder.java
@@ -56,6 +56,26 @@
         });
   }
 
+  /**
+   * Records that the operators' configuration was confirmed unchanged.
+   *
+   * @param readMs monotonic time in milliseconds at which the configuration was as it is here
+   * @param readWallMs wall time of the same in Unix milliseconds
+   */
+  public void confirmOperatorConfig(long readMs, long readWallMs) {
+    update(
+        s ->
+            s.desired() == null || readMs < s.operatorConfigReadMs()
+                ? s
+                : s.withOperatorConfig(
+                    s.desired(), s.domainsOut(), s.targets(), readMs, readWallMs));
+  }
+
+  /** Records that the server list was confirmed unchanged as of a monotonic time. */
+  public void confirmServers(long readMs) {
+    update(s -> readMs < s.serversReadMs() ? s : s.withServers(s.servers(), readMs));
+  }
+
   /** Applies a read of the server list, unless a newer one was applied. */
   public void updateServers(Map<String, BackendServer> servers, long sentMs) {
     update(s -> sentMs < s.serversReadMs() ? s : s.withServers(servers, sentMs));
--- a/org.cowslipyoke/src/main/java/org/cowslipyoke/util/Digests.java
+++ b/org.cowslipyoke/src/main/java/org/cowslipyoke/util/Digests.java
@@ -34,6 +34,11 @@
     return sha256(bytes);
   }
 
+  /** Returns the first 64 bits of {@link #sha256(byte[][])}, to compare contents. */
+  public static long sha256Prefix(byte[]... parts) {
+    return ByteBuffer.wrap(sha256(parts)).getLong();
+  }
+
   /**
    * Returns the SHA-256 of the UTF-8 bytes, without length prefix, in hexadecimal. Used for bearer
    * keys.
