Tell other entries of added work at once

Cause: with 33 entries each reports its load every 320 ms (100 datagrams a second), but a prompt is read in 70 to 170 ms.

Change: a change of load is reported at once in a partial report (a burst of 4, then 800 datagrams a second); work that is done goes along or follows after 60 ms. A complete report every 500 ms replaces what was lost. PeerLoads keeps sums, so that a placement no longer adds up the reports of all entries for each engine. Prompts that wait at one engine while others are idle: OverloadTest plays 33 entries before 42 engines. The log line of a first token names cached and fetched tokens.

--- a/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/PeerReportExchange.java
+++ b/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/PeerReportExchange.java
@@ -6,9 +6,11 @@
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.stream.Collectors;
@@ -16,6 +18,7 @@
 import org.apache.logging.log4j.Logger;
 import org.cowslipyoke.refresh.TableConfirmation;
 import org.cowslipyoke.relay.PeerLoads;
+import org.cowslipyoke.relay.PeerLoads.Load;
 import org.cowslipyoke.relay.PeerLoads.Report;
 import org.cowslipyoke.relay.ServerLoads;
 import org.cowslipyoke.suspect.CrashSuspects;
@@ -25,6 +28,7 @@
 import org.cowslipyoke.transport.TableConfirmationCodec;
 import org.cowslipyoke.util.Clock;
 import org.cowslipyoke.util.MalformedResponseException;
+import org.jspecify.annotations.Nullable;
 
 /**
  * Exchanges reports with the other entries: the load that each entry puts on the servers, the
@@ -35,14 +39,26 @@
  */
 public final class PeerReportExchange {
 
-  /** Minimum interval of reports, in milliseconds; prefill of a prompt takes 120 ms. */
-  static final long MIN_INTERVAL_MS = 50;
+  /** Interval of complete reports, in milliseconds; a lost partial report counts until the next. */
+  static final long COMPLETE_INTERVAL_MS = 500;
+
+  /** Interval at which suspects are reported if there are new ones, in milliseconds. */
+  static final long SUSPECT_INTERVAL_MS = 50;
 
   /**
-   * Maximum number of datagrams that an entry sends per second; with many entries, each reports
-   * less often.
+   * Delay of a report that work is done, in milliseconds. It usually goes along with the next
+   * report of added work, which must not wait for it.
    */
-  static final int MAX_SENT_PER_SECOND = 100;
+  static final long DONE_DELAY_MS = 60;
+
+  /**
+   * Maximum number of datagrams with partial reports that an entry sends per second; with more
+   * requests or more entries, several changes share a report.
+   */
+  static final int MAX_SENT_PER_SECOND = 800;
+
+  /** Number of partial reports that may exceed that rate after a time with few of them. */
+  static final int BURST_REPORTS = 4;
 
   private static final Logger LOG = LogManager.getLogger(PeerReportExchange.class);
 
@@ -55,6 +71,16 @@
   private volatile List<InetSocketAddress> peers = List.of();
   private volatile Set<InetAddress> known = Set.of();
   private volatile Consumer<TableConfirmation> onConfirmation = c -> {};
+  private final Clock clock;
+  private final Object sending = new Object();
+  private final Object scheduling = new Object();
+  private @Nullable ScheduledExecutorService timers;
+  private @Nullable ScheduledFuture<?> partialDue;
+  private long partialDueMs;
+
+  /** Time at which the partial reports sent so far are within the maximum rate. */
+  private long partialPaidMs;
+
   private long sequence;
   private boolean sendFailed;
 
@@ -70,6 +96,7 @@
       ServerLoads loads,
       PeerLoads received,
       CrashSuspects suspects) {
+    this.clock = clock;
     this.vm = vm;
     this.startedMs = clock.wallMs();
     this.loads = loads;
@@ -111,47 +138,105 @@
   }
 
   /** Starts sending and receiving. */
-  public void start(ScheduledExecutorService timers) {
+  public void start(ScheduledExecutorService timerThreads) {
     Thread t = new Thread(this::receive, "load-reports");
     t.setDaemon(true);
     t.start();
-    schedule(timers);
-  }
-
-  private void schedule(ScheduledExecutorService timers) {
-    if (!timers.isShutdown()) {
-      var unused =
-          timers.schedule(() -> sendAndSchedule(timers), intervalMs(), TimeUnit.MILLISECONDS);
+    synchronized (scheduling) {
+      timers = timerThreads;
+      partialPaidMs = clock.nowMs();
     }
+    loads.setChangeListener(this::schedulePartial);
+    repeat(timerThreads, COMPLETE_INTERVAL_MS, this::send);
+    repeat(timerThreads, SUSPECT_INTERVAL_MS, this::sendSuspects);
   }
 
-  private long intervalMs() {
-    return Math.max(MIN_INTERVAL_MS, 1_000L * peers.size() / MAX_SENT_PER_SECOND);
+  private static void repeat(ScheduledExecutorService timers, long intervalMs, Runnable task) {
+    var unused =
+        timers.scheduleWithFixedDelay(
+            () -> runLogged(task), intervalMs, intervalMs, TimeUnit.MILLISECONDS);
   }
 
-  private void sendAndSchedule(ScheduledExecutorService timers) {
+  /** Runs a task; an exception is logged, because it would end the repetition. */
+  private static void runLogged(Runnable task) {
     try {
-      send();
+      task.run();
     } catch (RuntimeException e) {
-      LOG.error("load report failed", e);
-    } finally {
-      schedule(timers);
+      LOG.error("report failed", e);
+    }
+  }
+
+  /** Schedules a partial report, at once if work was added and the rate allows it. */
+  private void schedulePartial(boolean added) {
+    synchronized (scheduling) {
+      if (timers == null || timers.isShutdown()) {
+        return;
+      }
+      long now = clock.nowMs();
+      long dueMs = Math.max(now + (added ? 0 : DONE_DELAY_MS), earliestPartialMs());
+      if (partialDue != null) {
+        if (partialDueMs <= dueMs) {
+          return;
+        }
+        partialDue.cancel(false);
+      }
+      partialDueMs = dueMs;
+      partialDue =
+          timers.schedule(() -> runLogged(this::sendPartial), dueMs - now, TimeUnit.MILLISECONDS);
+    }
+  }
+
+  private long partialCostMs() {
+    return 1_000L * peers.size() / MAX_SENT_PER_SECOND;
+  }
+
+  private long earliestPartialMs() {
+    return partialPaidMs - (BURST_REPORTS - 1) * partialCostMs();
+  }
+
+  private void sendPartial() {
+    synchronized (scheduling) {
+      partialDue = null;
+      partialPaidMs = Math.max(partialPaidMs, clock.nowMs()) + partialCostMs();
+    }
+    synchronized (sending) {
+      Map<String, Load> changes = loads.takeChanges();
+      if (!changes.isEmpty()) {
+        sendLoads(changes, true);
+      }
     }
   }
 
-  /** Sends a report of loads, and one of suspects if there is one, to all peers. */
+  /** Sends a complete report of loads to all peers. */
   void send() {
+    synchronized (sending) {
+      // Taken first: a change during the snapshot is reported once more instead of never.
+      loads.takeChanges();
+      sendLoads(loads.snapshot(), false);
+    }
+  }
+
+  private void sendSuspects() {
     Optional<SuspectReport> suspected = suspects.nextReport();
+    if (suspected.isPresent()) {
+      byte[] bytes = SuspectReportCodec.encode(suspected.get());
+      synchronized (sending) {
+        logProblem(send(bytes, peers));
+      }
+    }
+  }
+
+  private void sendLoads(Map<String, Load> report, boolean partial) {
     List<InetSocketAddress> to = peers;
     if (to.isEmpty()) {
       return;
     }
     sequence++;
-    String problem =
-        send(LoadReportCodec.encode(new Report(vm, startedMs, sequence, loads.snapshot())), to);
-    if (suspected.isPresent()) {
-      problem += send(SuspectReportCodec.encode(suspected.get()), to);
-    }
+    byte[] bytes = LoadReportCodec.encode(new Report(vm, startedMs, sequence, report, partial));
+    logProblem(send(bytes, to));
+  }
+
+  private void logProblem(String problem) {
     if (problem.isEmpty() == sendFailed) {
       sendFailed = !sendFailed;
       LOG.info("load reports {}: reason={}", sendFailed ? "lost" : "regained", problem);
--- a/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/RelayAttempt.java
+++ b/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/RelayAttempt.java
@@ -197,7 +197,7 @@
     if (plan != null) {
       LOG.info(
           "first token: request={} server={} tookMs={} expectedMs={} unread={} engineUnread={}"
-              + " engineResident={} engineRunning={}",
+              + " engineResident={} engineRunning={} held={} fetched={}",
           exchange.request().id(),
           server.id(),
           ms,
@@ -205,7 +205,9 @@
           work.prefillTokens(),
           plan.load().prefillTokens(),
           plan.load().residentTokens(),
-          plan.load().inFlight());
+          plan.load().inFlight(),
+          plan.heldTokens(),
+          plan.fetchedTokens());
     }
   }
 
--- a/org.cowslipyoke.test/src/test/java/org/cowslipyoke/relay/EngineLatencyModelTest.java
+++ b/org.cowslipyoke.test/src/test/java/org/cowslipyoke/relay/EngineLatencyModelTest.java
@@ -37,7 +37,7 @@
   /** Guards against counting a shared prefix once per request: engines store it once. */
   @Test
   void sharedPartsAreCountedOnce() {
-    ServerLoad load = new ServerLoad(new ManualClock());
+    ServerLoad load = new ServerLoad(new ManualClock(), added -> {});
     Prompt p = RelayFixture.prompt("org", "doc");
     PromptWork work = PromptWork.of(p, "salt", 1_000);
     assertEquals(9_025, load.addedTokens(work));
--- a/org.cowslipyoke.test/src/test/java/org/cowslipyoke/relay/OverloadTest.java
+++ b/org.cowslipyoke.test/src/test/java/org/cowslipyoke/relay/OverloadTest.java
@@ -23,6 +23,16 @@
 
   private static final int ENTRIES = 5;
   private static final int ENGINES = 4;
+
+  /** Entries, engines and prompts per second of the largest deployment on a quiet day. */
+  private static final int MANY_ENTRIES = 33;
+
+  private static final int MANY_ENGINES = 42;
+  private static final double MANY_PER_SECOND = 150;
+
+  /** Interval of reports at which 33 entries send 100 datagrams a second each. */
+  private static final long SLOW_REPORT_MS = 320;
+
   private static final int PROMPT_TOKENS = 9_000;
   private static final int ANSWER_TOKENS = 50;
   private static final long ANSWER_MS = 1_000;
@@ -33,6 +43,10 @@
   private static final double TARGET_PART = 0.95;
   private static final long LENGTH_MS = 60_000;
   private static final long REPORT_MS = 50;
+
+  /** Delay of a report that is sent when a load changes. */
+  private static final long ANNOUNCE_MS = 3;
+
   private static final long SEED = 20_261_204;
 
   private record Event(long atMs, long order, Runnable action) {}
@@ -48,15 +62,22 @@
     private final PromptPlacement placement;
     private long sequence;
 
-    Entry(ManualClock clock, BackendServer... servers) {
+    Entry(ManualClock clock, int entries, BackendServer... servers) {
       fixture = new RelayFixture(clock);
       fixture.load(1, Map.of(), servers);
-      fixture.state.updateEntryCount(ENTRIES);
+      fixture.state.updateEntryCount(entries);
       placement = fixture.placement();
     }
   }
 
-  private record Result(int inTime, int late, int refused) {
+  /** When entries tell each other their load. */
+  private enum Reports {
+    NEVER,
+    PERIODIC,
+    ON_CHANGE
+  }
+
+  private record Result(int inTime, int late, int refused, long waitedMs) {
 
     int admitted() {
       return inTime + late;
@@ -72,27 +93,36 @@
     private final List<Entry> entries = new ArrayList<>();
     private final Route route = RelayFixture.route(RequestKind.STREAM, true, 2);
     private final double perSecond;
+    private final Reports reports;
+    private final long reportMs;
     private long order;
     private int inTime;
     private int late;
     private int refused;
+    private long waitedMs;
 
-    Simulation(double perSecond) {
+    Simulation(int entryCount, int engineCount, double perSecond, Reports reports, long reportMs) {
       this.perSecond = perSecond;
-      BackendServer[] servers = new BackendServer[ENGINES];
-      for (int i = 0; i < ENGINES; i++) {
+      this.reports = reports;
+      this.reportMs = reportMs;
+      BackendServer[] servers = new BackendServer[engineCount];
+      for (int i = 0; i < engineCount; i++) {
         servers[i] = RelayFixture.server("s" + i, 1);
         engines.put("s" + i, new Engine());
       }
-      for (int i = 0; i < ENTRIES; i++) {
-        entries.add(new Entry(clock, servers));
+      for (int i = 0; i < entryCount; i++) {
+        Entry e = new Entry(clock, entryCount, servers);
+        entries.add(e);
+        if (reports == Reports.ON_CHANGE) {
+          e.fixture.loads.setChangeListener(added -> at(ANNOUNCE_MS, () -> announce(e)));
+        }
       }
     }
 
-    Result run(boolean reports) {
+    Result run() {
       at(0, this::arrive);
-      if (reports) {
-        at(REPORT_MS, this::report);
+      if (reports != Reports.NEVER) {
+        at(reportMs, this::report);
       }
       long startMs = clock.nowMs();
       while (!events.isEmpty() && events.element().atMs() - startMs < LENGTH_MS) {
@@ -100,7 +130,7 @@
         clock.advance(Math.max(0, e.atMs() - clock.nowMs()));
         e.action().run();
       }
-      return new Result(inTime, late, refused);
+      return new Result(inTime, late, refused, waitedMs);
     }
 
     private void at(long inMs, Runnable action) {
@@ -108,7 +138,7 @@
     }
 
     private void arrive() {
-      Entry e = entries.get(random.nextInt(ENTRIES));
+      Entry e = entries.get(random.nextInt(entries.size()));
       submit(e, "doc" + random.nextInt(1_000_000));
       double gapMs = -Math.log(1 - random.nextDouble()) * 1_000 / perSecond;
       at(Math.max(1, Math.round(gapMs)), this::arrive);
@@ -139,6 +169,7 @@
       load.recordStart(work);
       Engine engine = requireNonNull(engines.get(server.id()));
       long beginMs = Math.max(clock.nowMs(), engine.freeMs);
+      waitedMs += beginMs - clock.nowMs();
       engine.freeMs =
           beginMs + Math.round(EngineLatencyModel.prefillMs(PROMPT_TOKENS, engine.running));
       engine.running++;
@@ -163,28 +194,58 @@
                 "e" + entries.indexOf(from), 1, from.sequence, from.fixture.loads.snapshot());
         entries.stream().filter(e -> e != from).forEach(e -> e.fixture.peers.accept(r));
       }
-      at(REPORT_MS, this::report);
+      at(reportMs, this::report);
     }
+
+    private void announce(Entry from) {
+      Map<String, PeerLoads.Load> changes = from.fixture.loads.takeChanges();
+      from.sequence++;
+      Report r = new Report("e" + entries.indexOf(from), 1, from.sequence, changes, true);
+      entries.stream().filter(e -> e != from).forEach(e -> e.fixture.peers.accept(r));
+    }
+  }
+
+  private static Result play(double perSecond, Reports reports) {
+    return new Simulation(ENTRIES, ENGINES, perSecond, reports, REPORT_MS).run();
+  }
+
+  private static Result playMany(Reports reports) {
+    return new Simulation(MANY_ENTRIES, MANY_ENGINES, MANY_PER_SECOND, reports, SLOW_REPORT_MS)
+        .run();
   }
 
   /** Guards against admitting prompts that are late because of the load from other entries. */
   @Test
   void admittedPromptsAreAnsweredInTime() {
-    Result r = new Simulation(32).run(true);
+    Result r = play(32, Reports.PERIODIC);
     assertTrue(r.inTime() >= TARGET_PART * r.admitted(), r + " seed " + SEED);
   }
 
   @Test
   void reportsOfOtherEntriesIncreasePromptsInTime() {
-    Result with = new Simulation(32).run(true);
-    Result without = new Simulation(32).run(false);
+    Result with = play(32, Reports.PERIODIC);
+    Result without = play(32, Reports.NEVER);
     assertTrue(with.inTime() > without.inTime(), with + " without " + without + " seed " + SEED);
   }
 
   /** Guards against refusals at normal load. */
   @Test
   void promptsBelowCapacityAreAdmittedAndAnsweredInTime() {
-    Result r = new Simulation(8).run(true);
+    Result r = play(8, Reports.PERIODIC);
     assertTrue(r.inTime() >= TARGET_PART * (r.admitted() + r.refused()), r + " seed " + SEED);
   }
+
+  /**
+   * Many entries before many engines that are busy for half of the time. Guards against prompts
+   * that wait at one engine while others are idle, because the entries learn too late of each
+   * other's prompts.
+   */
+  @Test
+  void promptsOfManyEntriesWaitForNoOther() {
+    Result onChange = playMany(Reports.ON_CHANGE);
+    int all = onChange.admitted() + onChange.refused();
+    assertTrue(onChange.inTime() >= 0.99 * all, onChange + " seed " + SEED);
+    Result periodic = playMany(Reports.PERIODIC);
+    assertTrue(onChange.waitedMs() < periodic.waitedMs() / 4, onChange + " periodic " + periodic);
+  }
 }
--- a/org.cowslipyoke.test/src/test/java/org/cowslipyoke/relay/PeerLoadsTest.java
+++ b/org.cowslipyoke.test/src/test/java/org/cowslipyoke/relay/PeerLoadsTest.java
@@ -79,4 +79,32 @@
     FleetLoad known = FleetLoad.of(own, peers, List.of(s1, s2), 2);
     assertEquals(Load.NONE, known.loadAt(s2));
   }
+
+  private void partial(String vm, long sequence, Map<String, Load> loads) {
+    peers.accept(new Report(vm, 1, sequence, loads, true));
+  }
+
+  /** Guards against losing the loads that a partial report does not contain. */
+  @Test
+  void partialReportReplacesOnlyItsLoads() {
+    report("e1", 1, 1, new Load(2, 300, 4_000));
+    report("e2", 1, 1, new Load(1, 50, 600));
+    partial("e1", 2, Map.of(s2.incarnation(), new Load(1, 7, 70)));
+    assertEquals(new Load(3, 350, 4_600), peers.loadAt(s1));
+    assertEquals(new Load(1, 7, 70), peers.loadAt(s2));
+    partial("e1", 3, Map.of(s1.incarnation(), Load.NONE));
+    assertEquals(new Load(1, 50, 600), peers.loadAt(s1));
+    report("e1", 1, 4, new Load(1, 1, 1));
+    assertEquals(new Load(2, 51, 601), peers.loadAt(s1));
+    assertEquals(Load.NONE, peers.loadAt(s2));
+  }
+
+  /** Guards against adding a partial report to what an earlier run of the entry reported. */
+  @Test
+  void partialReportOfRestartedEntryStartsAnew() {
+    report("e1", 1, 9, new Load(2, 300, 4_000));
+    peers.accept(new Report("e1", 2, 1, Map.of(s2.incarnation(), new Load(1, 7, 70)), true));
+    assertEquals(Load.NONE, peers.loadAt(s1));
+    assertEquals(new Load(1, 7, 70), peers.loadAt(s2));
+  }
 }
--- a/org.cowslipyoke.test/src/test/java/org/cowslipyoke/transport/LoadReportCodecTest.java
+++ b/org.cowslipyoke.test/src/test/java/org/cowslipyoke/transport/LoadReportCodecTest.java
@@ -23,6 +23,9 @@
   void reportsSurviveTheirDatagram() throws Exception {
     byte[] bytes = LoadReportCodec.encode(REPORT);
     assertEquals(REPORT, LoadReportCodec.decode(bytes, bytes.length));
+    Report partial = new Report("e1", 5, 8, Map.of("s1@1", Load.NONE), true);
+    byte[] partialBytes = LoadReportCodec.encode(partial);
+    assertEquals(partial, LoadReportCodec.decode(partialBytes, partialBytes.length));
   }
 
   /** Guards against a datagram that is larger than what the receiver reads. */
--- a/org.cowslipyoke.transport/src/main/java/org/cowslipyoke/transport/LoadReportCodec.java
+++ b/org.cowslipyoke.transport/src/main/java/org/cowslipyoke/transport/LoadReportCodec.java
@@ -13,7 +13,8 @@
 
 /**
  * A report of loads as one datagram: the array [format, vm, started, sequence, loads], where loads
- * is a map from a server's incarnation to [in flight, unread tokens, resident tokens].
+ * is a map from a server's incarnation to [in flight, unread tokens, resident tokens]. The format
+ * tells whether the report is complete or partial.
  */
 public final class LoadReportCodec {
 
@@ -23,7 +24,8 @@
   /** Servers in one report; their entries fit {@link #MAX_BYTES}. */
   static final int MAX_SERVERS = 200;
 
-  private static final int FORMAT = 1;
+  private static final int COMPLETE = 1;
+  private static final int PARTIAL = 2;
   private static final int FIELDS = 5;
 
   private LoadReportCodec() {}
@@ -31,7 +33,7 @@
   /** Encodes a report; servers above the bound are left out, those with the least work first. */
   public static byte[] encode(Report r) {
     try (MessageBufferPacker p = MessagePack.newDefaultBufferPacker()) {
-      p.packArrayHeader(FIELDS).packInt(FORMAT).packString(r.vm());
+      p.packArrayHeader(FIELDS).packInt(r.partial() ? PARTIAL : COMPLETE).packString(r.vm());
       p.packLong(r.startedMs()).packLong(r.sequence());
       p.packMapHeader(Math.min(MAX_SERVERS, r.loads().size()));
       var busiest =
@@ -60,7 +62,9 @@
   public static Report decode(byte[] bytes, int length) throws MalformedResponseException {
     try (MessageUnpacker u = MessagePack.newDefaultUnpacker(bytes, 0, length)) {
       FieldReader f = new FieldReader(u, length);
-      if (f.header() != FIELDS || f.count() != FORMAT) {
+      int fields = f.header();
+      int format = f.count();
+      if (fields != FIELDS || (format != COMPLETE && format != PARTIAL)) {
         throw new MalformedResponseException("unknown format of a load report");
       }
       String vm = f.name();
@@ -78,7 +82,7 @@
         }
         loads.put(incarnation, new Load(f.count(), f.size(), f.size()));
       }
-      return new Report(vm, startedMs, sequence, Map.copyOf(loads));
+      return new Report(vm, startedMs, sequence, Map.copyOf(loads), format == PARTIAL);
     } catch (IOException | MessagePackException e) {
       throw new MalformedResponseException("load report not decoded: " + e);
     }
--- a/org.cowslipyoke/src/main/java/org/cowslipyoke/relay/PeerLoads.java
+++ b/org.cowslipyoke/src/main/java/org/cowslipyoke/relay/PeerLoads.java
@@ -1,18 +1,21 @@
 package org.cowslipyoke.relay;
 
+import java.util.HashMap;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 import org.cowslipyoke.util.Clock;
 
 /**
- * Loads that the other entries report for the servers. Each report replaces the previous one of the
- * same entry, so a lost report only makes the data older. Thread-safe.
+ * Loads that the other entries report for the servers. A complete report replaces the previous one
+ * of the same entry; a partial one, which an entry sends when a load changes, replaces the loads
+ * that it contains. A lost report thus makes the data older until the next complete one.
+ * Thread-safe.
  */
 public final class PeerLoads {
 
   /**
-   * Maximum age at which a report is used, in milliseconds. Allows for five lost reports at the
-   * interval that {@code PeerReportExchange} has with 24 entries, the largest deployment.
+   * Maximum age at which a report is used, in milliseconds. Allows for two lost complete reports at
+   * the interval that {@code PeerReportExchange} has.
    */
   static final long MAX_AGE_MS = 1_500;
 
@@ -38,6 +41,14 @@
           prefillTokens + o.prefillTokens,
           residentTokens + o.residentTokens);
     }
+
+    /** Returns the difference of two loads. */
+    Load minus(Load o) {
+      return new Load(
+          inFlight - o.inFlight,
+          prefillTokens - o.prefillTokens,
+          residentTokens - o.residentTokens);
+    }
   }
 
   /**
@@ -47,14 +58,30 @@
    * @param startedMs start time of the entry in Unix milliseconds; a restarted entry numbers its
    *     reports from the beginning
    * @param sequence number of the report, increasing within a run of the entry
-   * @param loads load by server incarnation; idle servers are omitted
+   * @param loads load by server incarnation; a complete report omits idle servers
+   * @param partial whether loads that the report does not contain are unchanged
    */
-  public record Report(String vm, long startedMs, long sequence, Map<String, Load> loads) {}
+  public record Report(
+      String vm, long startedMs, long sequence, Map<String, Load> loads, boolean partial) {
 
-  private record Received(Report report, long atMs) {}
+    /** Creates a complete report. */
+    public Report(String vm, long startedMs, long sequence, Map<String, Load> loads) {
+      this(vm, startedMs, sequence, loads, false);
+    }
+  }
+
+  private record Received(long startedMs, long sequence, Map<String, Load> loads, long atMs) {}
 
   private final Clock clock;
-  private final Map<String, Received> byVm = new ConcurrentHashMap<>();
+  private final Map<String, Received> byVm = new HashMap<>();
+
+  /** Sum of the loads in all used reports, by server incarnation; idle servers are omitted. */
+  private final Map<String, Load> totals = new ConcurrentHashMap<>();
+
+  private volatile int fresh;
+
+  /** Time at which the oldest used report expires. */
+  private volatile long nextExpiryMs = Long.MAX_VALUE;
 
   /** Creates an empty record. */
   public PeerLoads(Clock clock) {
@@ -62,47 +89,97 @@
   }
 
   /** Stores a report, unless a newer one of the same entry was received before. */
-  public void accept(Report r) {
-    if (byVm.size() >= MAX_PEERS && !byVm.containsKey(r.vm())) {
-      byVm.values().removeIf(x -> clock.nowMs() - x.atMs() > MAX_AGE_MS);
-      if (byVm.size() >= MAX_PEERS) {
-        return;
-      }
+  public synchronized void accept(Report r) {
+    expire();
+    Received old = byVm.get(r.vm());
+    if (old == null ? byVm.size() >= MAX_PEERS : !replaces(r, old)) {
+      return;
     }
-    Received next = new Received(r, clock.nowMs());
-    byVm.merge(r.vm(), next, (old, n) -> replaces(n, old) ? n : old);
+    boolean continues = r.partial() && old != null && old.startedMs() == r.startedMs();
+    Map<String, Load> before = old == null ? Map.of() : old.loads();
+    Map<String, Load> next = continues ? new HashMap<>(before) : new HashMap<>();
+    r.loads()
+        .forEach(
+            (incarnation, load) -> {
+              if (load.equals(Load.NONE)) {
+                next.remove(incarnation);
+              } else {
+                next.put(incarnation, load);
+              }
+            });
+    replaceInTotals(before, next);
+    byVm.put(r.vm(), new Received(r.startedMs(), r.sequence(), next, clock.nowMs()));
+    updateExpiry();
   }
 
   /** Returns the number of entries whose report is fresh. */
   public int freshCount() {
-    long now = clock.nowMs();
-    return (int) byVm.values().stream().filter(x -> now - x.atMs() <= MAX_AGE_MS).count();
+    expireIfDue();
+    return fresh;
   }
 
   /** Returns the sum of the loads in fresh reports for a server. */
   public Load loadAt(BackendServer server) {
-    long now = clock.nowMs();
-    Load sum = Load.NONE;
-    for (Received x : byVm.values()) {
-      Load l = x.report().loads().get(server.incarnation());
-      if (l != null && now - x.atMs() <= MAX_AGE_MS) {
-        sum = sum.plus(l);
+    expireIfDue();
+    return totals.getOrDefault(server.incarnation(), Load.NONE);
+  }
+
+  private void expireIfDue() {
+    if (clock.nowMs() >= nextExpiryMs) {
+      synchronized (this) {
+        expire();
+        updateExpiry();
       }
     }
-    return sum;
   }
 
-  /**
-   * Returns whether a report replaces another one. An entry that restarts after its wall clock was
-   * set back has an earlier start time, so any report replaces one that is too old.
-   */
-  private static boolean replaces(Received next, Received old) {
-    Report a = next.report();
-    Report b = old.report();
-    boolean newer =
-        a.startedMs() != b.startedMs()
-            ? a.startedMs() > b.startedMs()
-            : a.sequence() > b.sequence();
-    return newer || next.atMs() - old.atMs() > MAX_AGE_MS;
+  private void expire() {
+    long now = clock.nowMs();
+    byVm.values()
+        .removeIf(
+            x -> {
+              boolean old = now - x.atMs() > MAX_AGE_MS;
+              if (old) {
+                replaceInTotals(x.loads(), Map.of());
+              }
+              return old;
+            });
+  }
+
+  private void updateExpiry() {
+    fresh = byVm.size();
+    long oldestMs = byVm.values().stream().mapToLong(Received::atMs).min().orElse(Long.MAX_VALUE);
+    nextExpiryMs = oldestMs == Long.MAX_VALUE ? oldestMs : oldestMs + MAX_AGE_MS + 1;
+  }
+
+  private void replaceInTotals(Map<String, Load> before, Map<String, Load> next) {
+    before.forEach(
+        (incarnation, load) -> {
+          if (!load.equals(next.get(incarnation))) {
+            add(incarnation, Load.NONE.minus(load));
+          }
+        });
+    next.forEach(
+        (incarnation, load) -> {
+          if (!load.equals(before.get(incarnation))) {
+            add(incarnation, load);
+          }
+        });
+  }
+
+  private void add(String incarnation, Load change) {
+    totals.merge(
+        incarnation,
+        change,
+        (a, b) -> {
+          Load sum = a.plus(b);
+          return sum.equals(Load.NONE) ? null : sum;
+        });
+  }
+
+  private static boolean replaces(Report r, Received old) {
+    return r.startedMs() != old.startedMs()
+        ? r.startedMs() > old.startedMs()
+        : r.sequence() > old.sequence();
   }
 }
--- a/org.cowslipyoke/src/main/java/org/cowslipyoke/relay/PromptPlacement.java
+++ b/org.cowslipyoke/src/main/java/org/cowslipyoke/relay/PromptPlacement.java
@@ -108,6 +108,7 @@
       int weights,
       String salt,
       CachedPrefix held,
+      int fetchedTokens,
       PromptWork work,
       Load load,
       double expectedMs,
@@ -187,7 +188,7 @@
     Load load = context.load().loadAt(server);
     double expected = expectedMs(context, server, load, work) + fetched * fetchMsPerToken(context);
     double cost = expected + penaltyMs(server, old) + RANK_MS * rank;
-    return new ScoredServer(server, weights, salt, held, work, load, expected, cost);
+    return new ScoredServer(server, weights, salt, held, fetched, work, load, expected, cost);
   }
 
   /** Returns the expected time to the first token in milliseconds, without fetches. */
@@ -272,6 +273,8 @@
         o.salt(),
         o.work(),
         o.expectedMs(),
+        o.held().tokens(),
+        o.fetchedTokens(),
         o.load(),
         managed
             ? transfers.sources(
--- a/org.cowslipyoke/src/main/java/org/cowslipyoke/relay/PromptPlan.java
+++ b/org.cowslipyoke/src/main/java/org/cowslipyoke/relay/PromptPlan.java
@@ -11,6 +11,8 @@
  * @param salt cache salt of the parts
  * @param work work that the prompt adds to the engine
  * @param estimateMs expected time to the first token in milliseconds
+ * @param heldTokens leading tokens of the prompt that the server has cached
+ * @param fetchedTokens tokens after them that it fetches
  * @param load load of the server from all entries, without the prompt
  * @param sources for each part the address of the node to fetch it from, empty for none
  * @param targets for each part the address of the store to save it to, empty for none
@@ -21,6 +23,8 @@
     String salt,
     PromptWork work,
     double estimateMs,
+    int heldTokens,
+    int fetchedTokens,
     Load load,
     List<String> sources,
     List<String> targets) {}
--- a/org.cowslipyoke/src/main/java/org/cowslipyoke/relay/ServerLoad.java
+++ b/org.cowslipyoke/src/main/java/org/cowslipyoke/relay/ServerLoad.java
@@ -2,6 +2,7 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import java.util.function.Consumer;
 import org.cowslipyoke.relay.PeerLoads.Load;
 import org.cowslipyoke.util.Clock;
 
@@ -24,6 +25,7 @@
   static final long LOADING_MS = 700;
 
   private final Clock clock;
+  private final Consumer<Boolean> onPromptChange;
   private int weights;
   private int inFlight;
   private long prefillTokens;
@@ -35,20 +37,35 @@
   private long loadingUntilMs;
   private double responseMs;
 
-  ServerLoad(Clock clock) {
+  /**
+   * Creates the load of an idle server.
+   *
+   * @param onPromptChange called after the load by prompts has changed, with whether work was added
+   */
+  ServerLoad(Clock clock, Consumer<Boolean> onPromptChange) {
     this.clock = clock;
+    this.onPromptChange = onPromptChange;
     this.failuresMs = clock.nowMs();
     this.fullUntilMs = clock.nowMs();
     this.loadingUntilMs = clock.nowMs();
   }
 
   /** Records the start of a request. */
-  public synchronized void recordStart(PromptWork work) {
-    residentTokens += addedTokens(work);
-    inFlight++;
-    prefillTokens += work.prefillTokens();
-    for (PromptWork.SharedPart s : work.shared()) {
-      users.merge(s.key(), 1, Integer::sum);
+  public void recordStart(PromptWork work) {
+    synchronized (this) {
+      residentTokens += addedTokens(work);
+      inFlight++;
+      prefillTokens += work.prefillTokens();
+      for (PromptWork.SharedPart s : work.shared()) {
+        users.merge(s.key(), 1, Integer::sum);
+      }
+    }
+    reportChange(work, true);
+  }
+
+  private void reportChange(PromptWork work, boolean added) {
+    if (work != PromptWork.NONE) {
+      onPromptChange.accept(added);
     }
   }
 
@@ -62,19 +79,25 @@
   }
 
   /** Records that the server has prefilled the prompt and started to answer. */
-  public synchronized void recordPrefillEnd(PromptWork work) {
-    prefillTokens = Math.max(0, prefillTokens - work.prefillTokens());
+  public void recordPrefillEnd(PromptWork work) {
+    synchronized (this) {
+      prefillTokens = Math.max(0, prefillTokens - work.prefillTokens());
+    }
+    reportChange(work, false);
   }
 
   /** Records the end of a request. */
-  public synchronized void recordEnd(PromptWork work) {
-    inFlight = Math.max(0, inFlight - 1);
-    long freed = work.unsharedTokens();
-    for (PromptWork.SharedPart s : work.shared()) {
-      Integer left = users.computeIfPresent(s.key(), (k, n) -> n > 1 ? n - 1 : null);
-      freed += left == null ? s.tokens() : 0;
+  public void recordEnd(PromptWork work) {
+    synchronized (this) {
+      inFlight = Math.max(0, inFlight - 1);
+      long freed = work.unsharedTokens();
+      for (PromptWork.SharedPart s : work.shared()) {
+        Integer left = users.computeIfPresent(s.key(), (k, n) -> n > 1 ? n - 1 : null);
+        freed += left == null ? s.tokens() : 0;
+      }
+      residentTokens = Math.max(0, residentTokens - freed);
     }
-    residentTokens = Math.max(0, residentTokens - freed);
+    reportChange(work, false);
   }
 
   /** Records the duration of an answered request in milliseconds. */
--- a/org.cowslipyoke/src/main/java/org/cowslipyoke/relay/ServerLoads.java
+++ b/org.cowslipyoke/src/main/java/org/cowslipyoke/relay/ServerLoads.java
@@ -4,6 +4,9 @@
 import com.github.benmanes.caffeine.cache.Caffeine;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.Consumer;
 import org.cowslipyoke.relay.PeerLoads.Load;
 import org.cowslipyoke.util.Clock;
 
@@ -23,6 +26,8 @@
   private static final double RESIDENCE_DECAY = 0.98;
 
   private final Clock clock;
+  private final Set<String> changed = ConcurrentHashMap.newKeySet();
+  private volatile Consumer<Boolean> onPromptChange = added -> {};
   private double leftTokens;
   private double leftTokenMs;
   private final Cache<String, ServerLoad> loads =
@@ -64,6 +69,33 @@
     return all;
   }
 
+  /**
+   * Sets the listener that is called after the load of a server by prompts has changed, with
+   * whether work was added.
+   */
+  public void setChangeListener(Consumer<Boolean> listener) {
+    onPromptChange = listener;
+  }
+
+  /**
+   * Returns the loads that have changed by prompts since the last call, by server incarnation;
+   * those of idle servers are {@link Load#NONE}.
+   */
+  public Map<String, Load> takeChanges() {
+    Map<String, Load> loadsNow = new HashMap<>();
+    for (String incarnation : changed) {
+      changed.remove(incarnation);
+      ServerLoad l = loads.getIfPresent(incarnation);
+      loadsNow.put(incarnation, l == null ? Load.NONE : l.snapshot());
+    }
+    return loadsNow;
+  }
+
+  private void recordChange(String incarnation, boolean added) {
+    changed.add(incarnation);
+    onPromptChange.accept(added);
+  }
+
   /**
    * Returns the newest known weights version of a model at a server, 0 if the server does not have
    * the model. Combines the server list, which lags by a second, with the versions that the server
@@ -78,6 +110,7 @@
 
   /** Returns the load of a server. */
   public ServerLoad of(BackendServer server) {
-    return loads.get(server.incarnation(), k -> new ServerLoad(clock));
+    return loads.get(
+        server.incarnation(), k -> new ServerLoad(clock, added -> recordChange(k, added)));
   }
 }
