Pass cache events on to other entries

Change: the first reader of a node (rendezvous hash over the live entries) polls it every 464 ms and passes the events on in one datagram to each other entry of its group. An entry that hears nothing polls itself at an age of 814 to 1,050 ms by its rank, one that misses events polls at once; events are applied once by their number. A restarted store is listed by each entry itself, as before.

Ruled out: fewer polls by all (views expire after 1,200 ms).

--- a/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/PeerReportExchange.java
+++ b/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/PeerReportExchange.java
@@ -17,12 +17,14 @@
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.cowslipyoke.refresh.TableConfirmation;
+import org.cowslipyoke.relay.CacheEventBatch;
 import org.cowslipyoke.relay.PeerLoads;
 import org.cowslipyoke.relay.PeerLoads.Load;
 import org.cowslipyoke.relay.PeerLoads.Report;
 import org.cowslipyoke.relay.ServerLoads;
 import org.cowslipyoke.suspect.CrashSuspects;
 import org.cowslipyoke.suspect.SuspectReport;
+import org.cowslipyoke.transport.CacheEventCodec;
 import org.cowslipyoke.transport.LoadReportCodec;
 import org.cowslipyoke.transport.SuspectReportCodec;
 import org.cowslipyoke.transport.TableConfirmationCodec;
@@ -32,7 +34,8 @@
 
 /**
  * Exchanges reports with the other entries: the load that each entry puts on the servers, the
- * requests suspected to crash servers, and confirmations of tables in the platform's store.
+ * requests suspected to crash servers, confirmations of tables in the platform's store, and cache
+ * events.
  *
  * <p>Uses datagrams, because only the newest load report matters: a lost one is replaced by the
  * next, and none is delayed by an unresponsive connection. Suspects are reported repeatedly.
@@ -71,6 +74,7 @@
   private volatile List<InetSocketAddress> peers = List.of();
   private volatile Set<InetAddress> known = Set.of();
   private volatile Consumer<TableConfirmation> onConfirmation = c -> {};
+  private volatile Consumer<CacheEventBatch> onCacheEvents = b -> {};
   private final Clock clock;
   private final Object sending = new Object();
   private final Object scheduling = new Object();
@@ -128,6 +132,20 @@
     onConfirmation = listener;
   }
 
+  /** Sets the receiver of cache events; must be called before {@link #start}. */
+  public void setCacheEventListener(Consumer<CacheEventBatch> listener) {
+    onCacheEvents = listener;
+  }
+
+  /** Passes cache events on; those that exceed a datagram are left to the entries to read. */
+  public void shareCacheEvents(CacheEventBatch b, List<InetSocketAddress> to) {
+    byte[] bytes = CacheEventCodec.encode(b);
+    String problem = bytes.length <= LoadReportCodec.MAX_BYTES ? send(bytes, to) : "too large";
+    if (!problem.isEmpty()) {
+      LOG.debug("cache events not sent: address={} reason={}", b.address(), problem);
+    }
+  }
+
   /** Sends a confirmation to other entries at once, because their reads depend on it. */
   public void confirm(TableConfirmation c, List<InetSocketAddress> to) {
     byte[] bytes = TableConfirmationCodec.encode(new TableConfirmationCodec.Message(vm, c));
@@ -278,6 +296,8 @@
   private void take(byte[] bytes, int length) throws MalformedResponseException {
     if (SuspectReportCodec.isReport(bytes, length)) {
       suspects.accept(SuspectReportCodec.decode(bytes, length));
+    } else if (CacheEventCodec.isBatch(bytes, length)) {
+      onCacheEvents.accept(CacheEventCodec.decode(bytes, length));
     } else if (TableConfirmationCodec.isConfirmation(bytes, length)) {
       onConfirmation.accept(TableConfirmationCodec.decode(bytes, length).confirmation());
     } else {
--- a/org.cowslipyoke.test/src/test/java/org/cowslipyoke/relay/EventPollScheduleTest.java
+++ b/org.cowslipyoke.test/src/test/java/org/cowslipyoke/relay/EventPollScheduleTest.java
@@ -39,4 +39,29 @@
     EventPollSchedule p = EventPollSchedule.of(24, 12);
     assertTrue(2 * (p.waitMs() + p.pauseMs()) <= CacheDirectory.MAX_AGE_MS, p.toString());
   }
+
+  /**
+   * Guards against polls by entries that hear the first reader, and against a view that expires
+   * before the last reader polls; 400 entries in 26 groups before engines that accept 12 calls.
+   */
+  @Test
+  void otherReadersPollOnlyAfterTheFirstOneIsSilent() {
+    for (int[] d : new int[][] {{1, 5}, {1, 33}, {1, 60}, {26, 15}}) {
+      EventPollSchedule p = EventPollSchedule.shared(d[0], d[1], 12);
+      long betweenResponses = 2L * p.waitMs() + p.pauseMs();
+      assertEquals(0, p.maxSharedAgeMs(0, d[1]));
+      for (int rank = 1; rank < d[1]; rank++) {
+        long age = p.maxSharedAgeMs(rank, d[1]);
+        assertTrue(age > betweenResponses, d[1] + " entries, rank " + rank + ": " + age);
+        assertTrue(age < CacheDirectory.MAX_AGE_MS, d[1] + " entries, rank " + rank + ": " + age);
+      }
+      double atOnce = d[0] * (double) p.waitMs() / (p.waitMs() + p.pauseMs());
+      assertTrue(atOnce <= 0.72 * 12, d[0] + " groups: " + atOnce);
+    }
+  }
+
+  @Test
+  void singleEntryPollsAsBefore() {
+    assertEquals(EventPollSchedule.of(1, 12), EventPollSchedule.shared(1, 1, 12));
+  }
 }
--- a/org.cowslipyoke/src/main/java/org/cowslipyoke/relay/CacheContents.java
+++ b/org.cowslipyoke/src/main/java/org/cowslipyoke/relay/CacheContents.java
@@ -23,9 +23,19 @@
   /**
    * A change of the cached length of a part.
    *
+   * @param number number of the event, {@link #UNNUMBERED} if the change is part of a full listing
    * @param tokens cached tokens of the part after the change, 0 if it was evicted
    */
-  public record Change(Key key, int tokens) {}
+  public record Change(long number, Key key, int tokens) {
+
+    /** Number of a change that is always newer than the view. */
+    public static final long UNNUMBERED = Long.MAX_VALUE;
+
+    /** Creates a change without a number. */
+    public Change(Key key, int tokens) {
+      this(UNNUMBERED, key, tokens);
+    }
+  }
 
   private final Map<Key, Integer> parts = new HashMap<>();
   private long epoch = -1;
@@ -35,7 +45,7 @@
   private long nextEvent;
   private long usedTokens;
 
-  /** Returns the sequence number of the next event to request. */
+  /** Returns the number after which events are to be requested. */
   public synchronized long nextEvent() {
     return nextEvent;
   }
@@ -48,6 +58,7 @@
   /**
    * Applies a response to a request for events. A restarted node numbers its events from 0 again,
    * so this response lacks the events before the requested number; the next request starts at 0.
+   * Events that another entry has passed on since the request was sent are not applied again.
    *
    * @param lost whether events before the first one in this response were lost
    * @param sentMs monotonic time in milliseconds at which the request was sent
@@ -63,13 +74,47 @@
       epoch = newEpoch;
       epochSinceMs = sentMs;
     }
-    changes.forEach(this::apply);
-    nextEvent = restarted && !first ? 0 : newNext;
-    readMs = sentMs;
-    aliveMs = sentMs;
+    long known = restarted ? 0 : nextEvent;
+    changes.stream().filter(c -> c.number() > known).forEach(this::apply);
+    nextEvent = restarted && !first ? 0 : Math.max(known, newNext);
+    setRead(sentMs);
     return restarted || lost;
   }
 
+  /**
+   * Applies the events that another entry has read. Events of another epoch are applied if they
+   * include the first one.
+   *
+   * @param readAtMs monotonic time in milliseconds at which their request was sent, or earlier
+   * @return whether the view includes them; false if events in between are missing, so that this
+   *     entry has to read the events itself
+   */
+  public synchronized boolean applyShared(CacheEventBatch batch, long readAtMs) {
+    boolean restarted = batch.epoch() != epoch;
+    if (restarted ? batch.since() != 0 : batch.since() > nextEvent) {
+      return false;
+    }
+    if (restarted) {
+      parts.clear();
+      usedTokens = 0;
+      nextEvent = 0;
+      epoch = batch.epoch();
+      epochSinceMs = readAtMs;
+    }
+    long known = nextEvent;
+    if (batch.next() >= known) {
+      batch.changes().stream().filter(c -> c.number() > known).forEach(this::apply);
+      nextEvent = batch.next();
+      setRead(readAtMs);
+    }
+    return true;
+  }
+
+  private void setRead(long atMs) {
+    readMs = Math.max(readMs, atMs);
+    aliveMs = Math.max(aliveMs, atMs);
+  }
+
   /**
    * Replaces the view with a full listing, which states the epoch and the number of the next event.
    */
@@ -83,8 +128,7 @@
     epoch = newEpoch;
     whole.forEach(this::apply);
     nextEvent = newNext;
-    readMs = sentMs;
-    aliveMs = sentMs;
+    setRead(sentMs);
   }
 
   /** Records a response of the node that does not update the view. */
