Take resumable streams from servers that fall silent

Change: every 200 ms an entry looks at its running requests. If a server has answered no poll for its cache events for 1.2 s and the response has been idle for 400 ms, the attempt ends and the request goes on at another server after the last event that was passed on. Requests that may run only once stay. If more than half of a group is silent, the cause is taken to be the entry or its network, and nothing is moved.

Ruled out: a time-out of the stream alone, because a busy server still works on the request and it would run twice.

--- a/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/Relay.java
+++ b/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/Relay.java
@@ -4,6 +4,7 @@
 import java.net.InetSocketAddress;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
@@ -18,6 +19,7 @@
 import org.cowslipyoke.relay.ServerLoads;
 import org.cowslipyoke.relay.ServicePlacement;
 import org.cowslipyoke.relay.ServiceRetryBudget;
+import org.cowslipyoke.relay.SilentServers;
 import org.cowslipyoke.suspect.CrashSuspects;
 import org.cowslipyoke.util.Clock;
 import org.eclipse.jetty.client.HttpClient;
@@ -66,6 +68,9 @@
    */
   private static final long CONNECT_MS = 300;
 
+  /** Interval at which the servers of running requests are checked, in milliseconds. */
+  private static final long CHECK_INTERVAL_MS = 200;
+
   private static final Logger LOG = LogManager.getLogger(Relay.class);
 
   /**
@@ -146,8 +151,12 @@
             new ServiceRetryBudget(clock, o.budgetWindowMs(), o.budgetRatio(), o.budgetBase()),
             new ResponseMemoryBudget(),
             suspects,
+            new SilentServers(caches),
             new RelayMetrics(meters));
     this.handler = new RelayHandler(services);
+    var unused =
+        timers.scheduleWithFixedDelay(
+            handler::checkServers, CHECK_INTERVAL_MS, CHECK_INTERVAL_MS, TimeUnit.MILLISECONDS);
     this.server = new Server(threads);
     this.connector = connector(o);
     server.addConnector(connector);
--- a/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/RelayAttempt.java
+++ b/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/RelayAttempt.java
@@ -47,7 +47,7 @@
   private volatile @Nullable ResponseHead head;
   private HttpFields headers = HttpFields.EMPTY;
   private final AtomicLong receivedBytes = new AtomicLong();
-  private volatile long lastBytesMs;
+  private volatile long lastBytesMs = Long.MIN_VALUE;
   private boolean streaming;
   private boolean promptRead;
   private int resends;
@@ -115,6 +115,19 @@
     }
   }
 
+  /** Returns the time since the request was sent or the last byte was received, in milliseconds. */
+  long idleMs() {
+    return exchange.services().clock().nowMs() - Math.max(startMs, lastBytesMs);
+  }
+
+  /** Closes the connection to a server that has stopped responding, which ends the attempt. */
+  void leaveServer() {
+    Request r = jetty;
+    if (r != null) {
+      var unused = r.abort(new IllegalStateException("the server does not respond"));
+    }
+  }
+
   /** Aborts the exchange with the server and closes the connection. */
   void abort() {
     Request r = jetty;
@@ -143,6 +156,7 @@
   @Override
   public void onContent(Response response, ByteBuffer bytes) {
     HttpConnector.countContent(response, bytes.remaining());
+    lastBytesMs = exchange.services().clock().nowMs();
     if (!promptRead) {
       promptRead = true;
       recordFirstContent();
@@ -153,7 +167,6 @@
       return;
     }
     receivedBytes.addAndGet(bytes.remaining());
-    lastBytesMs = exchange.services().clock().nowMs();
     try {
       byte[] complete = events.add(bytes);
       if (complete.length > 0) {
--- a/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/RelayContext.java
+++ b/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/RelayContext.java
@@ -8,6 +8,7 @@
 import org.cowslipyoke.relay.ServerLoads;
 import org.cowslipyoke.relay.ServicePlacement;
 import org.cowslipyoke.relay.ServiceRetryBudget;
+import org.cowslipyoke.relay.SilentServers;
 import org.cowslipyoke.suspect.CrashSuspects;
 import org.cowslipyoke.util.Clock;
 import org.eclipse.jetty.client.HttpClient;
@@ -27,4 +28,5 @@
     ServiceRetryBudget repeats,
     ResponseMemoryBudget answers,
     CrashSuspects suspects,
+    SilentServers silentServers,
     RelayMetrics metrics) {}
--- a/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/RelayExchange.java
+++ b/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/RelayExchange.java
@@ -259,6 +259,24 @@
     }
   }
 
+  /**
+   * Ends the attempt if its server has stopped responding and the request may go on at another one.
+   */
+  void checkServer() {
+    RelayAttempt a;
+    synchronized (this) {
+      if (over || attempt == null || !run.mayRetryCurrentAttempt()) {
+        return;
+      }
+      a = attempt;
+    }
+    List<BackendServer> servers = services.state().get().available(service);
+    boolean others = servers.stream().anyMatch(s -> !run.hasTried(s));
+    if (others && services.silentServers().isAttemptLost(servers, a.server(), a.idleMs())) {
+      a.leaveServer();
+    }
+  }
+
   /** Records that a complete response was passed on. */
   void answered() {
     finish();
--- a/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/RelayHandler.java
+++ b/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/RelayHandler.java
@@ -50,6 +50,17 @@
     return running.size();
   }
 
+  /** Takes resumable requests from servers that have stopped responding. */
+  void checkServers() {
+    for (RelayExchange x : running) {
+      try {
+        x.checkServer();
+      } catch (RuntimeException e) {
+        LOG.error("server not checked: request={}", x.request().id(), e);
+      }
+    }
+  }
+
   @Override
   public boolean handle(Request request, Response response, Callback callback) {
     final long startMs = services.clock().nowMs();
--- a/org.cowslipyoke/src/main/java/org/cowslipyoke/relay/RequestAttempts.java
+++ b/org.cowslipyoke/src/main/java/org/cowslipyoke/relay/RequestAttempts.java
@@ -91,6 +91,16 @@
     return attempts;
   }
 
+  /**
+   * Returns whether the request may be sent to another server if the current attempt ends without a
+   * complete response; the retry budget may still forbid it.
+   */
+  public boolean mayRetryCurrentAttempt() {
+    return route.isRetryable()
+        && attempts < MAX_ATTEMPTS
+        && countedAttempts + 1 < route.maxAttempts();
+  }
+
   /**
    * Decides on the step after an attempt has ended.
    *
