--- a/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/PeerReportExchange.java
+++ b/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/PeerReportExchange.java
@@ -140,7 +140,7 @@
   /** Passes cache events on; those that exceed a datagram are left to the entries to read. */
   public void shareCacheEvents(CacheEventBatch b, List<InetSocketAddress> to) {
     byte[] bytes = CacheEventCodec.encode(b);
-    String problem = bytes.length <= LoadReportCodec.MAX_BYTES ? send(bytes, to) : "too large";
+    String problem = bytes.length <= LoadReportCodec.MAX_BYTES ? sendTo(bytes, to) : "too large";
     if (!problem.isEmpty()) {
       LOG.debug("cache events not sent: address={} reason={}", b.address(), problem);
     }
@@ -149,7 +149,7 @@
   /** Sends a confirmation to other entries at once, because their reads depend on it. */
   public void confirm(TableConfirmation c, List<InetSocketAddress> to) {
     byte[] bytes = TableConfirmationCodec.encode(new TableConfirmationCodec.Message(vm, c));
-    String problem = send(bytes, to);
+    String problem = sendTo(bytes, to);
     if (!problem.isEmpty()) {
       LOG.debug("confirmation not sent: table={} reason={}", c.table(), problem);
     }
@@ -239,7 +239,7 @@
     if (suspected.isPresent()) {
       byte[] bytes = SuspectReportCodec.encode(suspected.get());
       synchronized (sending) {
-        logProblem(send(bytes, peers));
+        logProblem(sendTo(bytes, peers));
       }
     }
   }
@@ -251,7 +251,7 @@
     }
     sequence++;
     byte[] bytes = LoadReportCodec.encode(new Report(vm, startedMs, sequence, report, partial));
-    logProblem(send(bytes, to));
+    logProblem(sendTo(bytes, to));
   }
 
   private void logProblem(String problem) {
@@ -262,7 +262,7 @@
   }
 
   /** Returns the last error, empty if there was none. */
-  private String send(byte[] bytes, List<InetSocketAddress> to) {
+  private String sendTo(byte[] bytes, List<InetSocketAddress> to) {
     String problem = "";
     for (InetSocketAddress peer : to) {
       try {
--- a/org.cowslipyoke.test/src/test/java/org/cowslipyoke/refresh/TableRefreshTest.java
+++ b/org.cowslipyoke.test/src/test/java/org/cowslipyoke/refresh/TableRefreshTest.java
@@ -202,7 +202,7 @@
   void changesReachAllEntriesAtOnce(int count) {
     List<Entry> entries = entries(count, 26);
     play(entries, 3_000);
-    int before = reads(entries);
+    final int before = reads(entries);
     stored = 2;
     long changedMs = clock.nowMs();
     while (entries.stream().anyMatch(e -> e.copy != 2)) {
