Report only large prompts at once

Change: only a prompt with a chunk or more to read (1,024 tokens) is reported at once; other changes go along with it or follow after 150 ms. Ranks in a group are computed once, not at each poll.

--- a/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/PeerReportExchange.java
+++ b/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/PeerReportExchange.java
@@ -43,16 +43,16 @@
 public final class PeerReportExchange {
 
   /** Interval of complete reports, in milliseconds; a lost partial report counts until the next. */
-  static final long COMPLETE_INTERVAL_MS = 500;
+  static final long COMPLETE_INTERVAL_MS = 700;
 
   /** Interval at which suspects are reported if there are new ones, in milliseconds. */
   static final long SUSPECT_INTERVAL_MS = 50;
 
   /**
-   * Delay of a report that work is done, in milliseconds. It usually goes along with the next
-   * report of added work, which must not wait for it.
+   * Delay of a report of changes that are not urgent, in milliseconds. They usually go along with
+   * the next urgent one.
    */
-  static final long DONE_DELAY_MS = 60;
+  static final long DELAY_MS = 150;
 
   /**
    * Maximum number of datagrams with partial reports that an entry sends per second; with more
@@ -184,14 +184,14 @@
     }
   }
 
-  /** Schedules a partial report, at once if work was added and the rate allows it. */
-  private void schedulePartial(boolean added) {
+  /** Schedules a partial report, at once if the change is urgent and the rate allows it. */
+  private void schedulePartial(boolean urgent) {
     synchronized (scheduling) {
       if (timers == null || timers.isShutdown()) {
         return;
       }
       long now = clock.nowMs();
-      long dueMs = Math.max(now + (added ? 0 : DONE_DELAY_MS), earliestPartialMs());
+      long dueMs = Math.max(now + (urgent ? 0 : DELAY_MS), earliestPartialMs());
       if (partialDue != null) {
         if (partialDueMs <= dueMs) {
           return;
--- a/org.cowslipyoke/src/main/java/org/cowslipyoke/refresh/ReaderGroup.java
+++ b/org.cowslipyoke/src/main/java/org/cowslipyoke/refresh/ReaderGroup.java
@@ -3,13 +3,16 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.UnaryOperator;
 import org.cowslipyoke.util.Rendezvous;
 
 /**
- * The live entries that share their reads of the platform's tables, from the view of one of them.
- * Each table has an order of readers, a rendezvous hash over their names, so that entries with the
- * same view agree on it without an election and different tables have different first readers.
+ * The live entries that share their reads of tables and caches, from the view of one of them. Each
+ * table and each node with a cache has an order of readers, a rendezvous hash over their names, so
+ * that entries with the same view agree on it without an election and different tables have
+ * different first readers. A group is replaced when an entry starts or ends.
  */
 public final class ReaderGroup {
 
@@ -29,6 +32,7 @@
 
   private final Member self;
   private final List<String> readers;
+  private final Map<String, Integer> ranks = new ConcurrentHashMap<>();
 
   private ReaderGroup(Member self, List<String> readers) {
     this.self = self;
@@ -62,10 +66,17 @@
     return readers.size();
   }
 
-  /** Returns the position of this entry in the order of readers of a table, 0 for the first. */
-  public int rank(String table) {
+  /**
+   * Returns the position of this entry in the order of readers of a table or a node, 0 for the
+   * first.
+   */
+  public int rank(String name) {
+    return ranks.computeIfAbsent(name, this::computeRank);
+  }
+
+  private int computeRank(String name) {
     return Rendezvous.top(
-            table.getBytes(StandardCharsets.UTF_8), readers, UnaryOperator.identity(), size())
+            name.getBytes(StandardCharsets.UTF_8), readers, UnaryOperator.identity(), size())
         .indexOf(self.vm());
   }
 }
--- a/org.cowslipyoke/src/main/java/org/cowslipyoke/relay/EventPollSchedule.java
+++ b/org.cowslipyoke/src/main/java/org/cowslipyoke/relay/EventPollSchedule.java
@@ -35,10 +35,10 @@
   static final double USED_FRACTION = 0.7;
 
   /** Pause per entry that a response is passed on to, in milliseconds. */
-  static final long PAUSE_PER_READER_MS = 8;
+  static final long PAUSE_PER_READER_MS = 12;
 
   /** Maximum pause of a reader that passes its responses on, in milliseconds. */
-  static final long MAX_SHARED_PAUSE_MS = 300;
+  static final long MAX_SHARED_PAUSE_MS = 400;
 
   /**
    * Time that a response and its way to the other entries may take in addition to two polls before
--- a/org.cowslipyoke/src/main/java/org/cowslipyoke/relay/ServerLoad.java
+++ b/org.cowslipyoke/src/main/java/org/cowslipyoke/relay/ServerLoad.java
@@ -24,6 +24,12 @@
    */
   static final long LOADING_MS = 700;
 
+  /**
+   * Number of prompt tokens to prefill from which other entries must learn of a request at once: a
+   * prompt that follows it at the same engine would wait for more than a step.
+   */
+  static final long URGENT_TOKENS = 1_024;
+
   private final Clock clock;
   private final Consumer<Boolean> onPromptChange;
   private int weights;
@@ -40,7 +46,8 @@
   /**
    * Creates the load of an idle server.
    *
-   * @param onPromptChange called after the load by prompts has changed, with whether work was added
+   * @param onPromptChange called after the load by prompts has changed, with whether the change is
+   *     urgent
    */
   ServerLoad(Clock clock, Consumer<Boolean> onPromptChange) {
     this.clock = clock;
@@ -60,12 +67,12 @@
         users.merge(s.key(), 1, Integer::sum);
       }
     }
-    reportChange(work, true);
+    reportChange(work, work.prefillTokens() >= URGENT_TOKENS);
   }
 
-  private void reportChange(PromptWork work, boolean added) {
+  private void reportChange(PromptWork work, boolean urgent) {
     if (work != PromptWork.NONE) {
-      onPromptChange.accept(added);
+      onPromptChange.accept(urgent);
     }
   }
 
--- a/org.cowslipyoke/src/main/java/org/cowslipyoke/relay/ServerLoads.java
+++ b/org.cowslipyoke/src/main/java/org/cowslipyoke/relay/ServerLoads.java
@@ -27,7 +27,7 @@
 
   private final Clock clock;
   private final Set<String> changed = ConcurrentHashMap.newKeySet();
-  private volatile Consumer<Boolean> onPromptChange = added -> {};
+  private volatile Consumer<Boolean> onPromptChange = urgent -> {};
   private double leftTokens;
   private double leftTokenMs;
   private final Cache<String, ServerLoad> loads =
@@ -91,9 +91,9 @@
     return loadsNow;
   }
 
-  private void recordChange(String incarnation, boolean added) {
+  private void recordChange(String incarnation, boolean urgent) {
     changed.add(incarnation);
-    onPromptChange.accept(added);
+    onPromptChange.accept(urgent);
   }
 
   /**
@@ -111,6 +111,6 @@
   /** Returns the load of a server. */
   public ServerLoad of(BackendServer server) {
     return loads.get(
-        server.incarnation(), k -> new ServerLoad(clock, added -> recordChange(k, added)));
+        server.incarnation(), k -> new ServerLoad(clock, urgent -> recordChange(k, urgent)));
   }
 }
