Keep receiving reports after a listener has failed

Cause: the receiver of datagrams caught only malformed reports and I/O errors. Confirmations and cache events now call listeners; an exception there ended the thread, and with it all reports of other entries.

Change: the exception is logged and the next datagram is received.

Result: PeerReportExchangeTest.failingListenerDoesNotStopTheReceiver.

--- a/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/PeerReportExchange.java
+++ b/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/PeerReportExchange.java
@@ -127,12 +127,15 @@
     peers = List.copyOf(addresses);
   }
 
-  /** Sets the receiver of other entries' confirmations; must be called before {@link #start}. */
+  /** Sets the listener to other entries' confirmations; must be called before {@link #start}. */
   public void setConfirmationListener(Consumer<TableConfirmation> listener) {
     onConfirmation = listener;
   }
 
-  /** Sets the receiver of cache events; must be called before {@link #start}. */
+  /**
+   * Sets the listener to cache events that other entries have read; must be called before {@link
+   * #start}.
+   */
   public void setCacheEventListener(Consumer<CacheEventBatch> listener) {
     onCacheEvents = listener;
   }
@@ -285,6 +288,9 @@
         }
       } catch (MalformedResponseException e) {
         LOG.warn("report ignored: reason={}", e.getMessage());
+      } catch (RuntimeException e) {
+        // A failing listener must not end the reception of all reports.
+        LOG.error("report not applied", e);
       } catch (IOException e) {
         if (!socket.isClosed()) {
           LOG.warn("report not received: reason={}", e.toString());
--- a/org.cowslipyoke.test/src/test/java/org/cowslipyoke/daemon/relay/PeerReportExchangeTest.java
+++ b/org.cowslipyoke.test/src/test/java/org/cowslipyoke/daemon/relay/PeerReportExchangeTest.java
@@ -9,8 +9,11 @@
 import java.net.InetSocketAddress;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import org.cowslipyoke.refresh.TableConfirmation;
 import org.cowslipyoke.relay.BackendServer;
 import org.cowslipyoke.relay.PeerLoads;
 import org.cowslipyoke.relay.PeerLoads.Load;
@@ -109,4 +112,23 @@
     e1.send();
     awaitLoad(peers2, new Load(1, 100, 900));
   }
+
+  /** Guards against a listener whose failure ends the reception of all reports. */
+  @Test
+  void failingListenerDoesNotStopTheReceiver() throws Exception {
+    CountDownLatch called = new CountDownLatch(1);
+    e1.setPeers(List.of(e2.address()));
+    e2.setPeers(List.of(e1.address()));
+    e2.setConfirmationListener(
+        c -> {
+          called.countDown();
+          throw new IllegalStateException("a failing listener");
+        });
+    e2.start(timers);
+    e1.confirm(new TableConfirmation("t", 1, 2), List.of(e2.address()));
+    assertTrue(called.await(DEADLINE_MS, TimeUnit.MILLISECONDS));
+    loads1.of(SERVER).recordStart(new PromptWork(100, 900, List.of()));
+    e1.send();
+    awaitLoad(peers2, new Load(1, 100, 900));
+  }
 }
