--- a/org.cowslipyoke.test/src/test/java/org/cowslipyoke/transport/CacheEventCodecTest.java
+++ b/org.cowslipyoke.test/src/test/java/org/cowslipyoke/transport/CacheEventCodecTest.java
@@ -7,8 +7,8 @@
 
 import java.util.List;
 import org.cowslipyoke.refresh.TableConfirmation;
+import org.cowslipyoke.relay.CacheContents;
 import org.cowslipyoke.relay.CacheContents.Change;
-import org.cowslipyoke.relay.CacheContents.Key;
 import org.cowslipyoke.relay.CacheEventBatch;
 import org.cowslipyoke.util.MalformedResponseException;
 import org.junit.jupiter.api.Test;
@@ -23,8 +23,8 @@
           120,
           35,
           List.of(
-              new Change(119, new Key("m.v1", "5c1e07a2"), 800),
-              new Change(120, new Key("m.v1", "91bd3f06"), 0)));
+              new Change(119, new CacheContents.Key("m.v1", "5c1e07a2"), 800),
+              new Change(120, new CacheContents.Key("m.v1", "91bd3f06"), 0)));
 
   @Test
   void eventsAreDecodedAsEncoded() throws Exception {
--- a/org.cowslipyoke.transport/src/main/java/org/cowslipyoke/transport/CacheEventCodec.java
+++ b/org.cowslipyoke.transport/src/main/java/org/cowslipyoke/transport/CacheEventCodec.java
@@ -3,8 +3,8 @@
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
+import org.cowslipyoke.relay.CacheContents;
 import org.cowslipyoke.relay.CacheContents.Change;
-import org.cowslipyoke.relay.CacheContents.Key;
 import org.cowslipyoke.relay.CacheEventBatch;
 import org.cowslipyoke.util.MalformedResponseException;
 import org.msgpack.core.MessageBufferPacker;
@@ -78,7 +78,7 @@
       if (f.header() != EVENT_FIELDS) {
         throw new MalformedResponseException("malformed cache event");
       }
-      changes.add(new Change(f.size(), new Key(f.name(), f.name()), f.count()));
+      changes.add(new Change(f.size(), new CacheContents.Key(f.name(), f.name()), f.count()));
     }
     return List.copyOf(changes);
   }
