--- a/org.cowslipyoke/src/main/java/org/cowslipyoke/relay/ServerLoads.java
+++ b/org.cowslipyoke/src/main/java/org/cowslipyoke/relay/ServerLoads.java
@@ -3,6 +3,7 @@
 import com.github.benmanes.caffeine.cache.Cache;
 import com.github.benmanes.caffeine.cache.Caffeine;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
@@ -83,7 +84,7 @@
    */
   public Map<String, Load> takeChanges() {
     Map<String, Load> loadsNow = new HashMap<>();
-    for (String incarnation : changed) {
+    for (String incarnation : List.copyOf(changed)) {
       changed.remove(incarnation);
       ServerLoad l = loads.getIfPresent(incarnation);
       loadsNow.put(incarnation, l == null ? Load.NONE : l.snapshot());
