--- a/org.cowslipyoke/src/main/java/org/cowslipyoke/relay/ServerLoad.java
+++ b/org.cowslipyoke/src/main/java/org/cowslipyoke/relay/ServerLoad.java
@@ -71,7 +71,7 @@
   }
 
   private void reportChange(PromptWork work, boolean urgent) {
-    if (work != PromptWork.NONE) {
+    if (!work.equals(PromptWork.NONE)) {
       onPromptChange.accept(urgent);
     }
   }
