--- a/org.cowslipyoke/src/main/java/org/cowslipyoke/relay/PeerLoads.java
+++ b/org.cowslipyoke/src/main/java/org/cowslipyoke/relay/PeerLoads.java
@@ -14,7 +14,7 @@
 public final class PeerLoads {
 
   /**
-   * Maximum age at which a report is used, in milliseconds. Allows for two lost complete reports at
+   * Maximum age at which a report is used, in milliseconds. Allows for one lost complete report at
    * the interval that {@code PeerReportExchange} has.
    */
   static final long MAX_AGE_MS = 1_500;
