Log parts and progress of runs that a server loss ended

Cause: the line "suspect recorded" names the fingerprint of the whole request only. It cannot tell whether the requests that are at several crashes share a part of their prompts, nor whether a run was lost before or after its response began.

Change: the line states whether content of the response was received, and the ids of the prompt's shared parts (at most 8).

--- a/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/RelayAttempt.java
+++ b/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/RelayAttempt.java
@@ -282,7 +282,7 @@
   private void recordLostServer(@Nullable Throwable failure) {
     boolean lost = failure instanceof EOFException || failure instanceof SocketException;
     if (written && lost && !exchange.isOver()) {
-      exchange.crashTracker().serverLost(server, startMs);
+      exchange.crashTracker().serverLost(server, startMs, promptRead);
     }
   }
 
--- a/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/RequestCrashTracker.java
+++ b/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/RequestCrashTracker.java
@@ -1,11 +1,13 @@
 package org.cowslipyoke.daemon.relay;
 
+import java.util.List;
 import java.util.Optional;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.cowslipyoke.errors.ErrorKind;
 import org.cowslipyoke.errors.Failure;
 import org.cowslipyoke.relay.BackendServer;
+import org.cowslipyoke.relay.Prompt;
 import org.cowslipyoke.relay.RelayRequest;
 import org.cowslipyoke.suspect.CrashSuspects;
 import org.cowslipyoke.suspect.CrashSuspects.Verdict;
@@ -19,6 +21,9 @@
 
   private static final Logger LOG = LogManager.getLogger(RequestCrashTracker.class);
 
+  /** Maximum number of parts of a prompt in a log line. */
+  private static final int MAX_LOGGED_PARTS = 8;
+
   private final CrashSuspects suspects;
   private final RelayMetrics metrics;
   private final RelayRequest request;
@@ -50,10 +55,24 @@
             ErrorKind.SUSPECTED, "servers were lost at earlier runs of this request", v.holdMs()));
   }
 
-  /** Records that the connection to a server was lost after the request was sent to it. */
-  void serverLost(BackendServer server, long startMs) {
+  /**
+   * Records that the connection to a server was lost after the request was sent to it.
+   *
+   * @param responseBegun whether content of the response was received
+   */
+  void serverLost(BackendServer server, long startMs, boolean responseBegun) {
     Verdict v = suspects.recordCrash(fingerprint(), server.incarnation(), startMs);
-    recordDecision("recorded", v.crashes(), server.incarnation(), v.holdMs());
+    metrics.suspect("recorded");
+    LOG.info(
+        "suspect recorded: request={} fingerprint={} crashes={} server={} holdMs={} begun={}"
+            + " parts={}",
+        request.id(),
+        Long.toHexString(fingerprint()),
+        v.crashes(),
+        server.incarnation(),
+        v.holdMs(),
+        responseBegun,
+        sharedParts());
   }
 
   /** Records that the request received a complete and successful response. */
@@ -79,6 +98,14 @@
         holdMs);
   }
 
+  /** Returns the ids of the parts that other prompts may share, bounded for the log. */
+  private List<String> sharedParts() {
+    Prompt p = request.prompt();
+    return p == null
+        ? List.of()
+        : p.sharedParts().stream().limit(MAX_LOGGED_PARTS).map(Prompt.Part::id).toList();
+  }
+
   private long fingerprint() {
     Long f = fingerprint;
     if (f == null) {
--- a/org.cowslipyoke/src/main/java/org/cowslipyoke/relay/Prompt.java
+++ b/org.cowslipyoke/src/main/java/org/cowslipyoke/relay/Prompt.java
@@ -13,6 +13,11 @@
 public record Prompt(
     String model, int promptTokens, int answerTokens, int expectedAnswerTokens, List<Part> parts) {
 
+  /** Returns the parts that other prompts may share, in order. */
+  public List<Part> sharedParts() {
+    return parts.isEmpty() ? parts : parts.subList(0, parts.size() - 1);
+  }
+
   /**
    * A part of a prompt that other prompts may share.
    *
