Refute a crash only by observations soon after it

Callers saw: a request that crashes servers was sent to servers again although three of them had ended under it.

Cause: a crash was refuted by any later response of its server. A server that restarts under its old id is listed as the old incarnation until the list is read again, so its first responses counted as a sign that only the connection had been lost.

A server whose connections are reset again later starts a new loss.

--- a/org.cowslipyoke.test/src/test/java/org/cowslipyoke/suspect/CrashSuspectsTest.java
+++ b/org.cowslipyoke.test/src/test/java/org/cowslipyoke/suspect/CrashSuspectsTest.java
@@ -172,6 +172,41 @@
     }
   }
 
+  /**
+   * Guards against counting a server as alive that crashed and restarted under its id before the
+   * list of servers showed it.
+   */
+  @Test
+  void responseOfRestartedServerDoesNotRefuteCrash() {
+    for (int i = 0; i < 3; i++) {
+      crash("s" + i, Map.of(BAD, 0));
+    }
+    report();
+    clock.advance(3_000);
+    entry(0).recordResponse("s2", clock.nowMs() - RUN_MS);
+    entry(1).recordContent("s1");
+    report();
+    for (int e = 0; e < 4; e++) {
+      assertTrue(held(e, BAD), "entry " + e);
+    }
+  }
+
+  /** Guards against holding a request because of connections that were reset more than once. */
+  @Test
+  void eachOfTwoLossesOfLiveServerIsRefuted() {
+    for (int i = 0; i < 3; i++) {
+      crash("s" + i, Map.of(GOOD, 0));
+    }
+    clock.advance(CrashSuspects.MAX_RECEIVE_DELAY_MS + 1);
+    entry(0).recordContent("s2");
+    assertFalse(held(0, GOOD));
+    clock.advance(10_000);
+    crash("s2", Map.of(BAD, 0));
+    clock.advance(CrashSuspects.MAX_RECEIVE_DELAY_MS + 1);
+    entry(0).recordContent("s2");
+    assertEquals(0, entry(0).verdict(BAD).crashes());
+  }
+
   /** Guards against taking bytes sent before a crash but read after it as proof of liveness. */
   @Test
   void bufferedBytesDoNotRefuteCrash() {
--- a/org.cowslipyoke/src/main/java/org/cowslipyoke/suspect/CrashSuspects.java
+++ b/org.cowslipyoke/src/main/java/org/cowslipyoke/suspect/CrashSuspects.java
@@ -81,7 +81,6 @@
 
   private static final int RUN_BYTES = 24;
   private static final int MAX_CLEARED_IN_REPORT = 200;
-  private static final int MAX_SERVERS = 4_096;
 
   /**
    * State of a request.
@@ -104,7 +103,7 @@
   private final Clock clock;
   private final Map<Long, Suspect> suspects = new LinkedHashMap<>();
   private final Map<Long, Cleared> cleared = new LinkedHashMap<>();
-  private final Map<String, Long> lastAliveMs = new LinkedHashMap<>();
+  private final ServerLiveness liveness = new ServerLiveness();
   private boolean hasUnreportedChanges;
   private long lastReportMs;
   private volatile boolean empty = true;
@@ -159,9 +158,7 @@
     if (empty) {
       return;
     }
-    synchronized (this) {
-      recordAlive(incarnation, startMs);
-    }
+    liveness.recordAlive(incarnation, startMs);
   }
 
   /** Records that a part of a response was received from a server. */
@@ -169,13 +166,6 @@
     recordResponse(incarnation, clock.nowMs() - MAX_RECEIVE_DELAY_MS);
   }
 
-  private void recordAlive(String incarnation, long atMs) {
-    if (lastAliveMs.size() >= MAX_SERVERS && !lastAliveMs.containsKey(incarnation)) {
-      lastAliveMs.remove(lastAliveMs.keySet().iterator().next());
-    }
-    lastAliveMs.merge(incarnation, atMs, Math::max);
-  }
-
   /** Returns the current state of a request. */
   public Verdict verdict(long fingerprint) {
     if (empty) {
@@ -203,7 +193,7 @@
     Map<String, List<CrashedRun>> crashes = new HashMap<>();
     int bytes = 0;
     for (Map.Entry<Long, Suspect> e : suspectsToReport(now)) {
-      for (Crash c : e.getValue().unrefutedCrashes(lastAliveMs)) {
+      for (Crash c : e.getValue().unrefutedCrashes(liveness)) {
         bytes += crashes.containsKey(c.incarnation()) ? RUN_BYTES : encodedBytes(c.incarnation());
         if (bytes <= MAX_REPORT_BYTES) {
           crashes
@@ -229,8 +219,8 @@
     Map<String, Long> ages = new HashMap<>();
     int bytes = 0;
     for (Suspect s : suspects.values()) {
-      for (Crash c : s.refutedCrashes(lastAliveMs)) {
-        Long at = lastAliveMs.get(c.incarnation());
+      for (Crash c : s.refutedCrashes(liveness)) {
+        Long at = liveness.lastAliveMs(c.incarnation());
         if (at != null
             && now - c.atMs() <= LIVENESS_REPORT_MS
             && !ages.containsKey(c.incarnation())) {
@@ -253,7 +243,8 @@
     long now = clock.nowMs();
     r.cleared().stream().filter(f -> !isCleared(f)).forEach(f -> markCleared(f, now));
     if (!empty) {
-      r.aliveAgesMs().forEach((i, ageMs) -> recordAlive(i, now - ageMs - MAX_REPORT_DELAY_MS));
+      r.aliveAgesMs()
+          .forEach((i, ageMs) -> liveness.recordAlive(i, now - ageMs - MAX_REPORT_DELAY_MS));
     }
     r.crashes()
         .forEach(
@@ -294,6 +285,7 @@
   }
 
   private boolean add(long fingerprint, Crash c) {
+    liveness.recordLost(c.incarnation(), c.atMs());
     Suspect s = suspects.get(fingerprint);
     if (s == null) {
       if (suspects.size() >= MAX_REQUESTS) {
@@ -326,7 +318,7 @@
         .removeIf(s -> now - s.lastMs() > CRASH_RETENTION_MS + holdMs(countSequential(s)));
     cleared.values().removeIf(c -> now - c.sinceMs() > CLEARANCE_RETENTION_MS);
     if (suspects.isEmpty()) {
-      lastAliveMs.clear();
+      liveness.clear();
     }
     empty = suspects.isEmpty() && cleared.isEmpty();
   }
@@ -336,18 +328,18 @@
     return suspects.entrySet().stream()
         .filter(
             e ->
-                e.getValue().unrefutedCrashes(lastAliveMs).size() > 1
-                    || e.getValue().unrefutedCrashes(lastAliveMs).stream()
+                e.getValue().unrefutedCrashes(liveness).size() > 1
+                    || e.getValue().unrefutedCrashes(liveness).stream()
                         .anyMatch(c -> c.observedLocally() && now - c.atMs() <= ANNOUNCE_MS))
         .sorted(
             Comparator.<Map.Entry<Long, Suspect>>comparingInt(
-                    e -> -e.getValue().unrefutedCrashes(lastAliveMs).size())
+                    e -> -e.getValue().unrefutedCrashes(liveness).size())
                 .thenComparingLong(e -> -e.getValue().lastMs()))
         .toList();
   }
 
   private int countSequential(Suspect s) {
-    return Suspect.countSequential(s.unrefutedCrashes(lastAliveMs));
+    return Suspect.countSequential(s.unrefutedCrashes(liveness));
   }
 
   /**
@@ -355,14 +347,14 @@
    * more crashes.
    */
   private int countAttributed(Suspect s) {
-    List<Crash> own = s.unrefutedCrashes(lastAliveMs);
+    List<Crash> own = s.unrefutedCrashes(liveness);
     int n = Suspect.countSequential(own);
     if (n < MIN_CRASHES) {
       return n;
     }
     List<Crash> remaining = new ArrayList<>(own);
     for (Suspect other : suspects.values()) {
-      List<Crash> more = other == s ? List.of() : other.unrefutedCrashes(lastAliveMs);
+      List<Crash> more = other == s ? List.of() : other.unrefutedCrashes(liveness);
       if (more.size() > own.size() && Suspect.countSequential(more) >= MIN_CRASHES) {
         remaining.removeIf(
             c -> more.stream().anyMatch(m -> m.incarnation().equals(c.incarnation())));
--- a/org.cowslipyoke/src/main/java/org/cowslipyoke/suspect/Suspect.java
+++ b/org.cowslipyoke/src/main/java/org/cowslipyoke/suspect/Suspect.java
@@ -53,24 +53,19 @@
   }
 
   /** Returns the crashes of servers that were not observed alive later. */
-  List<Crash> unrefutedCrashes(Map<String, Long> lastAliveMs) {
+  List<Crash> unrefutedCrashes(ServerLiveness liveness) {
     List<Crash> all = new ArrayList<>(byIncarnation.values());
-    all.removeIf(c -> isRefuted(c, lastAliveMs));
+    all.removeIf(c -> liveness.isRefuted(c.incarnation(), c.atMs()));
     return all;
   }
 
   /** Returns the crashes of servers that were observed alive later. */
-  List<Crash> refutedCrashes(Map<String, Long> lastAliveMs) {
+  List<Crash> refutedCrashes(ServerLiveness liveness) {
     List<Crash> all = new ArrayList<>(byIncarnation.values());
-    all.removeIf(c -> !isRefuted(c, lastAliveMs));
+    all.removeIf(c -> !liveness.isRefuted(c.incarnation(), c.atMs()));
     return all;
   }
 
-  private static boolean isRefuted(Crash c, Map<String, Long> lastAliveMs) {
-    Long alive = lastAliveMs.get(c.incarnation());
-    return alive != null && alive > c.atMs();
-  }
-
   /**
    * Returns the largest number of crashes whose runs were consecutive. Copies of a request that run
    * concurrently when several servers fail together count as one observation.
