Hold back prompt parts that crash every server

Cause: a suspect was recognised by organisation, method, path and body. Requests that only share the part that crashes servers are all new, so each was at one or two crashes and none was held.

Change: PartSuspects counts crashes by the shared parts of a prompt. Only runs lost before their response began count, and only if they started after the last response to a prompt with the part began. After three crashes the parts that were at the same ones are held back together, so that prompts with some of them are served and exonerate these. Entries tell each other in datagrams of their own. A crash of a held part is not attributed to other requests.

--- a/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/PeerReportExchange.java
+++ b/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/PeerReportExchange.java
@@ -7,7 +7,6 @@
 import java.net.InetSocketAddress;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.ScheduledFuture;
@@ -23,9 +22,9 @@
 import org.cowslipyoke.relay.PeerLoads.Report;
 import org.cowslipyoke.relay.ServerLoads;
 import org.cowslipyoke.suspect.CrashSuspects;
-import org.cowslipyoke.suspect.SuspectReport;
 import org.cowslipyoke.transport.CacheEventCodec;
 import org.cowslipyoke.transport.LoadReportCodec;
+import org.cowslipyoke.transport.PartReportCodec;
 import org.cowslipyoke.transport.SuspectReportCodec;
 import org.cowslipyoke.transport.TableConfirmationCodec;
 import org.cowslipyoke.util.Clock;
@@ -238,12 +237,13 @@
   }
 
   private void sendSuspects() {
-    Optional<SuspectReport> suspected = suspects.nextReport();
-    if (suspected.isPresent()) {
-      byte[] bytes = SuspectReportCodec.encode(suspected.get());
-      synchronized (sending) {
-        logProblem(sendTo(bytes, peers));
-      }
+    suspects.nextReport().map(SuspectReportCodec::encode).ifPresent(this::sendToPeers);
+    suspects.parts().nextReport().map(PartReportCodec::encode).ifPresent(this::sendToPeers);
+  }
+
+  private void sendToPeers(byte[] bytes) {
+    synchronized (sending) {
+      logProblem(sendTo(bytes, peers));
     }
   }
 
@@ -302,6 +302,8 @@
   private void take(byte[] bytes, int length) throws MalformedResponseException {
     if (SuspectReportCodec.isReport(bytes, length)) {
       suspects.accept(SuspectReportCodec.decode(bytes, length));
+    } else if (PartReportCodec.isReport(bytes, length)) {
+      suspects.parts().accept(PartReportCodec.decode(bytes, length));
     } else if (CacheEventCodec.isBatch(bytes, length)) {
       onCacheEvents.accept(CacheEventCodec.decode(bytes, length));
     } else if (TableConfirmationCodec.isConfirmation(bytes, length)) {
--- a/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/Relay.java
+++ b/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/Relay.java
@@ -121,6 +121,7 @@
       RandomGenerator random) {
     this.clock = clock;
     this.suspects = new CrashSuspects(clock);
+    suspects.parts().setListener(holds -> PartHolds.logChange(holds, clock));
     this.timers = Executors.newSingleThreadScheduledExecutor(Relay::timerThread);
     HttpConnector.Limits limits =
         new HttpConnector.Limits(
--- a/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/RelayAttempt.java
+++ b/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/RelayAttempt.java
@@ -33,6 +33,12 @@
   /** Time by which Jetty's time-out exceeds the deadline of the request, in milliseconds. */
   private static final long JETTY_GRACE_MS = 2_000;
 
+  /**
+   * Time after the first content of a response after which its server has survived the beginning of
+   * the response, in milliseconds.
+   */
+  private static final long BEGUN_MS = 100;
+
   private final RelayExchange exchange;
   private final BackendServer server;
   private final @Nullable PromptPlan plan;
@@ -50,6 +56,7 @@
   private volatile long lastBytesMs = Long.MIN_VALUE;
   private boolean streaming;
   private boolean promptRead;
+  private long firstContentMs;
   private int resends;
   private boolean ended;
 
@@ -159,7 +166,10 @@
     lastBytesMs = exchange.services().clock().nowMs();
     if (!promptRead) {
       promptRead = true;
+      firstContentMs = lastBytesMs;
       recordFirstContent();
+    } else if (hasBegun()) {
+      exchange.crashTracker().responseBegun();
     }
     exchange.services().suspects().recordContent(server.incarnation());
     if (!streaming) {
@@ -177,6 +187,10 @@
     }
   }
 
+  private boolean hasBegun() {
+    return promptRead && exchange.services().clock().nowMs() - firstContentMs >= BEGUN_MS;
+  }
+
   private void collect(Response response, ByteBuffer bytes) {
     if (!buffer.add(bytes)) {
       var unused = response.abort(new MalformedResponseException("the answer is too large"));
@@ -282,7 +296,7 @@
   private void recordLostServer(@Nullable Throwable failure) {
     boolean lost = failure instanceof EOFException || failure instanceof SocketException;
     if (written && lost && !exchange.isOver()) {
-      exchange.crashTracker().serverLost(server, startMs, promptRead);
+      exchange.crashTracker().serverLost(server, startMs, hasBegun());
     }
   }
 
--- a/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/RequestCrashTracker.java
+++ b/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/RequestCrashTracker.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Optional;
+import java.util.concurrent.atomic.AtomicBoolean;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.cowslipyoke.errors.ErrorKind;
@@ -11,11 +12,14 @@
 import org.cowslipyoke.relay.RelayRequest;
 import org.cowslipyoke.suspect.CrashSuspects;
 import org.cowslipyoke.suspect.CrashSuspects.Verdict;
+import org.cowslipyoke.suspect.PartSuspects;
+import org.cowslipyoke.util.Clock;
 import org.jspecify.annotations.Nullable;
 
 /**
- * Reports the outcomes of one request to {@link CrashSuspects} and checks whether the request may
- * run. The fingerprint is computed only if there are suspects or a server was lost. Thread-safe.
+ * Reports the outcomes of one request to {@link CrashSuspects} and {@link PartSuspects} and checks
+ * whether the request may run. The fingerprint of the request is computed only if there are
+ * suspects or a server was lost. Thread-safe.
  */
 final class RequestCrashTracker {
 
@@ -29,11 +33,15 @@
   private final RelayRequest request;
   private final @Nullable String organisation;
   private final byte[] body;
+  private final Clock clock;
+  private final AtomicBoolean begun = new AtomicBoolean();
   private volatile @Nullable Long fingerprint;
+  private volatile @Nullable List<Long> partPrints;
 
   RequestCrashTracker(
       RelayContext services, RelayRequest request, @Nullable String organisation, byte[] body) {
     this.suspects = services.suspects();
+    this.clock = services.clock();
     this.metrics = services.metrics();
     this.request = request;
     this.organisation = organisation;
@@ -42,6 +50,11 @@
 
   /** Returns the refusal if the request must not run, else empty. */
   Optional<Failure> refusal() {
+    Optional<PartSuspects.Hold> held =
+        suspects.parts().hasNoHold() ? Optional.empty() : suspects.parts().holdOf(partPrints());
+    if (held.isPresent()) {
+      return Optional.of(refusal(held.get()));
+    }
     if (suspects.isEmpty()) {
       return Optional.empty();
     }
@@ -55,13 +68,29 @@
             ErrorKind.SUSPECTED, "servers were lost at earlier runs of this request", v.holdMs()));
   }
 
+  private Failure refusal(PartSuspects.Hold h) {
+    long holdMs = h.untilMs() - clock.nowMs();
+    metrics.suspect("part refused");
+    LOG.info(
+        "suspect part refused: request={} parts={} crashes={} holdMs={}",
+        request.id(),
+        PartHolds.hex(h.parts()),
+        h.crashes(),
+        holdMs);
+    return new Failure(
+        ErrorKind.SUSPECTED, "servers were lost at earlier prompts with the same part", holdMs);
+  }
+
   /**
    * Records that the connection to a server was lost after the request was sent to it.
    *
-   * @param responseBegun whether content of the response was received
+   * @param responseBegun whether the server had begun to respond and went on
    */
   void serverLost(BackendServer server, long startMs, boolean responseBegun) {
     Verdict v = suspects.recordCrash(fingerprint(), server.incarnation(), startMs);
+    if (!responseBegun) {
+      suspects.parts().recordLoss(partPrints(), server.incarnation(), startMs);
+    }
     metrics.suspect("recorded");
     LOG.info(
         "suspect recorded: request={} fingerprint={} crashes={} server={} holdMs={} begun={}"
@@ -72,11 +101,19 @@
         server.incarnation(),
         v.holdMs(),
         responseBegun,
-        sharedParts());
+        loggedParts());
+  }
+
+  /** Records that the response has begun and goes on. */
+  void responseBegun() {
+    if (!begun.getAndSet(true)) {
+      suspects.parts().recordBegun(partPrints());
+    }
   }
 
   /** Records that the request received a complete and successful response. */
   void completed() {
+    responseBegun();
     if (suspects.isEmpty()) {
       return;
     }
@@ -98,12 +135,27 @@
         holdMs);
   }
 
-  /** Returns the ids of the parts that other prompts may share, bounded for the log. */
-  private List<String> sharedParts() {
+  private List<Prompt.Part> sharedParts() {
     Prompt p = request.prompt();
-    return p == null
-        ? List.of()
-        : p.sharedParts().stream().limit(MAX_LOGGED_PARTS).map(Prompt.Part::id).toList();
+    return p == null ? List.of() : p.sharedParts();
+  }
+
+  /** Returns ids and fingerprints of the parts that other prompts may share, for the log. */
+  private List<String> loggedParts() {
+    return sharedParts().stream()
+        .limit(MAX_LOGGED_PARTS)
+        .map(p -> p.id() + "=" + Long.toHexString(PartSuspects.fingerprint(p.id())))
+        .toList();
+  }
+
+  /** Returns the fingerprints of the parts that other prompts may share. */
+  private List<Long> partPrints() {
+    List<Long> prints = partPrints;
+    if (prints == null) {
+      prints = sharedParts().stream().map(p -> PartSuspects.fingerprint(p.id())).toList();
+      partPrints = prints;
+    }
+    return prints;
   }
 
   private long fingerprint() {
--- a/org.cowslipyoke.transport/src/main/java/org/cowslipyoke/transport/SuspectReportCodec.java
+++ b/org.cowslipyoke.transport/src/main/java/org/cowslipyoke/transport/SuspectReportCodec.java
@@ -38,14 +38,7 @@
   public static byte[] encode(SuspectReport r) {
     try (MessageBufferPacker p = MessagePack.newDefaultBufferPacker()) {
       p.packArrayHeader(FIELDS).packInt(FORMAT);
-      p.packMapHeader(r.crashes().size());
-      for (Map.Entry<String, List<CrashedRun>> e : r.crashes().entrySet()) {
-        p.packString(e.getKey()).packArrayHeader(e.getValue().size());
-        for (CrashedRun run : e.getValue()) {
-          p.packArrayHeader(3).packLong(run.fingerprint());
-          p.packLong(run.ageMs()).packLong(run.ranMs());
-        }
-      }
+      packCrashes(p, r.crashes());
       p.packArrayHeader(r.cleared().size());
       for (long f : r.cleared()) {
         p.packLong(f);
@@ -71,11 +64,7 @@
       if (f.header() != FIELDS || f.count() != FORMAT) {
         throw new MalformedResponseException("unknown format of a suspect report");
       }
-      Map<String, List<CrashedRun>> crashes = new HashMap<>();
-      int servers = bounded(u.unpackMapHeader(), length);
-      for (int i = 0; i < servers; i++) {
-        crashes.put(f.name(), runs(f, length));
-      }
+      Map<String, List<CrashedRun>> crashes = crashes(u, f, length);
       List<Long> cleared = new ArrayList<>();
       int n = bounded(f.header(), length);
       for (int i = 0; i < n; i++) {
@@ -86,12 +75,36 @@
       for (int i = 0; i < signs; i++) {
         alive.put(f.name(), f.number());
       }
-      return new SuspectReport(Map.copyOf(crashes), List.copyOf(cleared), Map.copyOf(alive));
+      return new SuspectReport(crashes, List.copyOf(cleared), Map.copyOf(alive));
     } catch (IOException | MessagePackException e) {
       throw new MalformedResponseException("suspect report not decoded: " + e);
     }
   }
 
+  /** Encodes runs by the incarnation of the server that they lost. */
+  static void packCrashes(MessageBufferPacker p, Map<String, List<CrashedRun>> crashes)
+      throws IOException {
+    p.packMapHeader(crashes.size());
+    for (Map.Entry<String, List<CrashedRun>> e : crashes.entrySet()) {
+      p.packString(e.getKey()).packArrayHeader(e.getValue().size());
+      for (CrashedRun run : e.getValue()) {
+        p.packArrayHeader(3).packLong(run.fingerprint());
+        p.packLong(run.ageMs()).packLong(run.ranMs());
+      }
+    }
+  }
+
+  /** Decodes what {@link #packCrashes} wrote. */
+  static Map<String, List<CrashedRun>> crashes(MessageUnpacker u, FieldReader f, int length)
+      throws IOException, MalformedResponseException {
+    Map<String, List<CrashedRun>> crashes = new HashMap<>();
+    int servers = bounded(u.unpackMapHeader(), length);
+    for (int i = 0; i < servers; i++) {
+      crashes.put(f.name(), runs(f, length));
+    }
+    return Map.copyOf(crashes);
+  }
+
   private static List<CrashedRun> runs(FieldReader f, int length)
       throws IOException, MalformedResponseException {
     List<CrashedRun> runs = new ArrayList<>();
@@ -106,7 +119,7 @@
   }
 
   /** Each element has a byte at least, so a larger count is a lie. */
-  private static int bounded(int count, int length) throws MalformedResponseException {
+  static int bounded(int count, int length) throws MalformedResponseException {
     if (count > length) {
       throw new MalformedResponseException("count exceeds the datagram: " + count);
     }
--- a/org.cowslipyoke/src/main/java/org/cowslipyoke/suspect/CrashSuspects.java
+++ b/org.cowslipyoke/src/main/java/org/cowslipyoke/suspect/CrashSuspects.java
@@ -104,6 +104,7 @@
   private final Map<Long, Suspect> suspects = new LinkedHashMap<>();
   private final Map<Long, Cleared> cleared = new LinkedHashMap<>();
   private final ServerLiveness liveness = new ServerLiveness();
+  private final PartSuspects parts;
   private boolean hasUnreportedChanges;
   private long lastReportMs;
   private volatile boolean empty = true;
@@ -111,9 +112,15 @@
   /** Creates an instance without suspects. */
   public CrashSuspects(Clock clock) {
     this.clock = clock;
+    this.parts = new PartSuspects(clock, liveness);
     this.lastReportMs = clock.nowMs();
   }
 
+  /** Returns the prompt parts that are suspected to crash servers. */
+  public PartSuspects parts() {
+    return parts;
+  }
+
   /** Returns the fingerprint of a request; the organisation is null on an open route. */
   public static long fingerprint(
       @Nullable String organisation, String method, String host, String target, byte[] body) {
@@ -155,7 +162,7 @@
 
   /** Records that a server responded to a request that was sent to it at {@code startMs}. */
   public void recordResponse(String incarnation, long startMs) {
-    if (empty) {
+    if (empty && parts.isEmpty()) {
       return;
     }
     liveness.recordAlive(incarnation, startMs);
@@ -317,7 +324,7 @@
         .values()
         .removeIf(s -> now - s.lastMs() > CRASH_RETENTION_MS + holdMs(countSequential(s)));
     cleared.values().removeIf(c -> now - c.sinceMs() > CLEARANCE_RETENTION_MS);
-    if (suspects.isEmpty()) {
+    if (suspects.isEmpty() && parts.isEmpty()) {
       liveness.clear();
     }
     empty = suspects.isEmpty() && cleared.isEmpty();
@@ -344,7 +351,7 @@
 
   /**
    * Returns the number of crashes attributed to a suspect: those not explained by a suspect with
-   * more crashes.
+   * more crashes or by prompt parts that are held back.
    */
   private int countAttributed(Suspect s) {
     List<Crash> own = s.unrefutedCrashes(liveness);
@@ -353,6 +360,7 @@
       return n;
     }
     List<Crash> remaining = new ArrayList<>(own);
+    remaining.removeIf(c -> parts.explains(c.incarnation()));
     for (Suspect other : suspects.values()) {
       List<Crash> more = other == s ? List.of() : other.unrefutedCrashes(liveness);
       if (more.size() > own.size() && Suspect.countSequential(more) >= MIN_CRASHES) {
@@ -363,7 +371,7 @@
     return Suspect.countSequential(remaining);
   }
 
-  private static long holdMs(int crashes) {
+  static long holdMs(int crashes) {
     if (crashes < MIN_CRASHES) {
       return 0;
     }
