Send reports of parts that can be decoded, and only what changed

Cause: two prompts with one part can be lost at one server, of which the second was sent after another entry had observed the loss.

Change: a run that started after the loss does not replace the start that is stored. A report repeated all crashes before, at each change, to each entry.

PartSuspectsTest.runThatStartedAfterTheLossIsNotReported guards against it.

--- a/org.cowslipyoke.test/src/test/java/org/cowslipyoke/suspect/PartSuspectsTest.java
+++ b/org.cowslipyoke.test/src/test/java/org/cowslipyoke/suspect/PartSuspectsTest.java
@@ -9,6 +9,8 @@
 import java.util.Optional;
 import java.util.Set;
 import org.cowslipyoke.fake.ManualClock;
+import org.cowslipyoke.transport.PartReportCodec;
+import org.cowslipyoke.util.MalformedResponseException;
 import org.junit.jupiter.api.Test;
 
 /** Guards against a prompt part that crashes servers with ever new requests. */
@@ -186,6 +188,35 @@
     assertTrue(held(0, BAD));
   }
 
+  /**
+   * Guards against reports that can't be decoded or are misread: another entry may send a prompt to
+   * a server after the first one has observed its loss.
+   */
+  @Test
+  void runThatStartedAfterTheLossIsNotReported() throws MalformedResponseException {
+    crash(0, "s0", BAD);
+    clock.advance(10);
+    crash(0, "s0", BAD);
+    PartReport r = entry(0).nextReport().orElseThrow();
+    byte[] bytes = PartReportCodec.encode(r);
+    assertEquals(r, PartReportCodec.decode(bytes, bytes.length));
+    assertEquals(RUN_MS, r.crashes().getOrDefault("s0", List.of()).get(0).ranMs());
+  }
+
+  /** Guards against reports that repeat everything known at each change. */
+  @Test
+  void changesAreReportedAlone() {
+    crash(0, "s0", BAD);
+    clock.advance(1);
+    report();
+    crash(0, "s1", SESSION);
+    PartReport r = entry(0).nextReport().orElseThrow();
+    assertEquals(Set.of("s1"), r.crashes().keySet());
+    assertEquals(Optional.empty(), entry(0).nextReport());
+    clock.advance(CrashSuspects.REPORT_INTERVAL_MS);
+    assertEquals(Set.of("s0", "s1"), entry(0).nextReport().orElseThrow().crashes().keySet());
+  }
+
   /** Guards against refusing a part for ever, and against crashing servers with it too often. */
   @Test
   void holdExpiresAndGrowsAfterNextCrash() {
--- a/org.cowslipyoke/src/main/java/org/cowslipyoke/suspect/PartEvidence.java
+++ b/org.cowslipyoke/src/main/java/org/cowslipyoke/suspect/PartEvidence.java
@@ -32,13 +32,23 @@
     return true;
   }
 
-  /** Merges two runs at one incarnation: the loss as it was first observed, the later start. */
+  /**
+   * Merges two runs at one incarnation: the first observation of the loss, and the latest start
+   * before it. A run that started after the loss did not cause it.
+   */
   private static Crash merge(Crash a, Crash b) {
+    boolean isFirst = a.atMs() <= b.atMs();
+    Crash first = isFirst ? a : b;
+    Crash other = isFirst ? b : a;
+    long startMs =
+        other.startMs() <= first.atMs()
+            ? Math.max(first.startMs(), other.startMs())
+            : first.startMs();
     return new Crash(
-        a.incarnation(),
-        Math.max(a.startMs(), b.startMs()),
-        Math.min(a.atMs(), b.atMs()),
-        a.observedLocally() || b.observedLocally());
+        first.incarnation(),
+        startMs,
+        first.atMs(),
+        first.observedLocally() || other.observedLocally());
   }
 
   /**
@@ -51,6 +61,18 @@
     return counted;
   }
 
+  /** Returns the time at which a response was last recorded as begun. */
+  long markedBegunMs() {
+    return markedBegunMs;
+  }
+
+  /** Returns the crashes that this process observed at or after the given time. */
+  List<Crash> observedSince(long sinceMs) {
+    return byIncarnation.values().stream()
+        .filter(c -> c.observedLocally() && c.atMs() >= sinceMs)
+        .toList();
+  }
+
   /** Returns whether the part was present at a crash. */
   boolean hasCrashOf(String incarnation) {
     return byIncarnation.containsKey(incarnation);
--- a/org.cowslipyoke/src/main/java/org/cowslipyoke/suspect/PartSuspects.java
+++ b/org.cowslipyoke/src/main/java/org/cowslipyoke/suspect/PartSuspects.java
@@ -82,6 +82,7 @@
   private volatile Consumer<List<Hold>> onChange = h -> {};
   private boolean hasUnreportedChanges;
   private long lastReportMs;
+  private long lastPeriodicMs;
 
   /**
    * Creates an instance without suspects.
@@ -92,6 +93,7 @@
     this.clock = clock;
     this.liveness = liveness;
     this.lastReportMs = clock.nowMs();
+    this.lastPeriodicMs = lastReportMs;
   }
 
   /** Returns the fingerprint of a part. */
@@ -128,8 +130,7 @@
       return false;
     }
     synchronized (this) {
-      return holds.stream()
-          .flatMap(h -> h.parts().stream())
+      return heldParts().stream()
           .map(suspects::get)
           .anyMatch(e -> e != null && e.hasCrashOf(incarnation));
     }
@@ -170,8 +171,10 @@
   }
 
   /**
-   * Returns the report to send to the other processes now, if one is due. Must be called
-   * periodically, because it also applies observations of servers that are alive.
+   * Returns the report to send to the other processes now, if one is due: changes at once, and
+   * periodically what changed recently and what is held back, for lost reports and for processes
+   * that start. Must be called periodically, because it also applies observations of servers that
+   * are alive.
    */
   public synchronized Optional<PartReport> nextReport() {
     if (empty) {
@@ -179,34 +182,47 @@
     }
     update();
     long now = clock.nowMs();
-    if (!hasUnreportedChanges && now - lastReportMs < CrashSuspects.REPORT_INTERVAL_MS) {
+    boolean periodic = now - lastPeriodicMs >= CrashSuspects.REPORT_INTERVAL_MS;
+    if (!periodic && !hasUnreportedChanges) {
       return Optional.empty();
     }
+    final PartReport r =
+        report(periodic ? now - CrashSuspects.ANNOUNCE_MS : lastReportMs, periodic);
     hasUnreportedChanges = false;
     lastReportMs = now;
-    removeExpired(now);
+    if (periodic) {
+      lastPeriodicMs = now;
+      removeExpired(now);
+    }
+    return r.crashes().isEmpty() && r.begunAgesMs().isEmpty() ? Optional.empty() : Optional.of(r);
+  }
+
+  private PartReport report(long sinceMs, boolean withHolds) {
+    long now = clock.nowMs();
+    Set<Long> held = withHolds ? heldParts() : Set.of();
     Map<Long, Long> begun = new HashMap<>();
     Map<String, List<CrashedRun>> crashes = new HashMap<>();
     int bytes = 0;
-    for (Map.Entry<Long, PartEvidence> e : newestFirst()) {
-      Long begunMs = lastBegunMs.getIfPresent(e.getKey());
-      if (begunMs != null
-          && e.getValue().size() >= MIN_CRASHES - 1
+    for (Map.Entry<Long, PartEvidence> e : heldThenNewest(held)) {
+      long part = e.getKey();
+      PartEvidence evidence = e.getValue();
+      if (evidence.size() >= MIN_CRASHES - 1
+          && evidence.markedBegunMs() >= sinceMs
           && begun.size() < MAX_BEGUN_IN_REPORT) {
-        begun.put(e.getKey(), now - begunMs);
+        begun.put(part, now - evidence.markedBegunMs());
       }
-      for (Crash c : crashesToReport(e.getKey(), e.getValue(), now)) {
+      List<Crash> reported =
+          held.contains(part) ? counted(part, evidence) : evidence.observedSince(sinceMs);
+      for (Crash c : reported) {
         bytes += RUN_BYTES + (crashes.containsKey(c.incarnation()) ? 0 : c.incarnation().length());
-        if (bytes <= CrashSuspects.MAX_REPORT_BYTES / 2) {
+        if (bytes <= CrashSuspects.MAX_REPORT_BYTES) {
           crashes
               .computeIfAbsent(c.incarnation(), k -> new ArrayList<>())
-              .add(new CrashedRun(e.getKey(), now - c.atMs(), c.atMs() - c.startMs()));
+              .add(new CrashedRun(part, now - c.atMs(), c.atMs() - c.startMs()));
         }
       }
     }
-    return crashes.isEmpty() && begun.isEmpty()
-        ? Optional.empty()
-        : Optional.of(new PartReport(crashes, begun));
+    return new PartReport(crashes, begun);
   }
 
   /** Merges the report of another process. */
@@ -250,8 +266,7 @@
     if (suspects.size() < MAX_PARTS) {
       return;
     }
-    Set<Long> held =
-        holds.stream().flatMap(h -> h.parts().stream()).collect(Collectors.toUnmodifiableSet());
+    Set<Long> held = heldParts();
     suspects.entrySet().stream()
         .min(
             Comparator.<Map.Entry<Long, PartEvidence>>comparingInt(
@@ -276,26 +291,19 @@
     empty = suspects.isEmpty();
   }
 
-  private List<Map.Entry<Long, PartEvidence>> newestFirst() {
+  private Set<Long> heldParts() {
+    return holds.stream().flatMap(h -> h.parts().stream()).collect(Collectors.toUnmodifiableSet());
+  }
+
+  private List<Map.Entry<Long, PartEvidence>> heldThenNewest(Set<Long> held) {
     return suspects.entrySet().stream()
         .sorted(
-            Comparator.<Map.Entry<Long, PartEvidence>>comparingInt(e -> -e.getValue().size())
+            Comparator.<Map.Entry<Long, PartEvidence>>comparingInt(
+                    e -> held.contains(e.getKey()) ? 0 : 1)
                 .thenComparingLong(e -> -e.getValue().lastMs()))
         .toList();
   }
 
-  /**
-   * Returns the crashes of a part to report: what this process observed itself for a while, and
-   * parts with several crashes as long as they are stored, for processes that start.
-   */
-  private List<Crash> crashesToReport(long part, PartEvidence e, long now) {
-    List<Crash> counted = counted(part, e);
-    if (counted.size() <= 1) {
-      counted.removeIf(c -> !c.observedLocally() || now - c.atMs() > CrashSuspects.ANNOUNCE_MS);
-    }
-    return counted;
-  }
-
   private List<Crash> counted(long part, PartEvidence e) {
     Long begunMs = lastBegunMs.getIfPresent(part);
     return e.counted(begunMs == null ? Long.MIN_VALUE : begunMs, liveness);
