Count crashes whose reset is reported before the end of the writing

Cause: a crash counts only if the whole request was written. That was taken from Jetty's notification, which may come after the notification that the response has failed, because the thread that writes is overtaken by the one that reads.

Change: the connection itself counts the bytes that were written, under a lock that includes the write, and HttpConnector.isWritten asks it.

--- a/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/RelayAttempt.java
+++ b/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/RelayAttempt.java
@@ -48,7 +48,6 @@
   private final ResponseBuffer buffer;
   private final long startMs;
   private volatile boolean sent;
-  private volatile boolean written;
   private volatile @Nullable Request jetty;
   private volatile @Nullable ResponseHead head;
   private HttpFields headers = HttpFields.EMPTY;
@@ -110,8 +109,7 @@
             .headers(h -> h.clear().add(out))
             .timeout(leftMs + JETTY_GRACE_MS, TimeUnit.MILLISECONDS)
             .idleTimeout(leftMs + JETTY_GRACE_MS, TimeUnit.MILLISECONDS)
-            .onRequestBegin(x -> sent = true)
-            .onRequestSuccess(x -> written = true);
+            .onRequestBegin(x -> sent = true);
     if (exchange.body().length > 0) {
       r.body(new BytesRequestContent(out.get("Content-Type"), exchange.body()));
     }
@@ -247,7 +245,6 @@
         && HttpConnector.isNotSent(result.getFailure())
         && !exchange.isOver()) {
       resends++;
-      written = false;
       post();
       return;
     }
@@ -273,7 +270,7 @@
     ResponseHead h = head;
     if (result.isFailed() || h == null) {
       sent &= !HttpConnector.isNotSent(result.getFailure());
-      recordLostServer(result.getFailure());
+      recordLostServer(result);
       broken(summary(result.getFailure()));
       return;
     }
@@ -293,9 +290,16 @@
    * request was written counts, not a time-out, a malformed response or a pooled connection that
    * was closed before.
    */
-  private void recordLostServer(@Nullable Throwable failure) {
+  private void recordLostServer(Result result) {
+    Throwable failure = result.getFailure();
     boolean lost = failure instanceof EOFException || failure instanceof SocketException;
-    if (written && lost && !exchange.isOver()) {
+    if (lost && HttpConnector.isWritten(result.getRequest(), exchange.body().length)) {
+      recordLostServer();
+    }
+  }
+
+  private void recordLostServer() {
+    if (!exchange.isOver()) {
       exchange.crashTracker().serverLost(server, startMs, hasBegun());
     }
   }
--- a/org.cowslipyoke.http/src/main/java/org/cowslipyoke/http/HttpConnector.java
+++ b/org.cowslipyoke.http/src/main/java/org/cowslipyoke/http/HttpConnector.java
@@ -333,6 +333,15 @@
     return failure instanceof NotSentException;
   }
 
+  /**
+   * Returns whether a request with a body of the given length was written completely, for a client
+   * that {@link #startClient} returned. Unlike Jetty's notification, which may come after that of
+   * the failed response, this is known as soon as the bytes are written.
+   */
+  public static boolean isWritten(Request request, int bodyBytes) {
+    return ServerConnections.isWritten(request, bodyBytes);
+  }
+
   @Override
   public void close() {
     try {
--- a/org.cowslipyoke.http/src/main/java/org/cowslipyoke/http/internal/ServerConnections.java
+++ b/org.cowslipyoke.http/src/main/java/org/cowslipyoke/http/internal/ServerConnections.java
@@ -52,8 +52,18 @@
     }
   }
 
+  /** Returns whether a request with a body of the given length was written completely. */
+  public static boolean isWritten(Request request, int bodyBytes) {
+    ServerEndPoint e = endPoint(request);
+    return e != null && e.isRequestWritten(bodyBytes);
+  }
+
   private static @Nullable ServerEndPoint endPoint(Response response) {
-    return response.getRequest().getConnection() instanceof Connection c
+    return endPoint(response.getRequest());
+  }
+
+  private static @Nullable ServerEndPoint endPoint(Request request) {
+    return request.getConnection() instanceof Connection c
             && c.getEndPoint() instanceof ServerEndPoint e
         ? e
         : null;
--- a/org.cowslipyoke.http/src/main/java/org/cowslipyoke/http/internal/ServerEndPoint.java
+++ b/org.cowslipyoke.http/src/main/java/org/cowslipyoke/http/internal/ServerEndPoint.java
@@ -34,6 +34,9 @@
   private final long maxResponseBytes;
   private final AtomicLong responseBytes = new AtomicLong();
   private final AtomicLong contentBytes = new AtomicLong();
+  private final Object writing = new Object();
+  private long writtenBytes;
+  private boolean allWritten;
   private volatile boolean awaitingResponse;
   private volatile boolean ended;
   private boolean used;
@@ -50,9 +53,27 @@
 
   /** Records that the response is complete: bytes before the next request are unsolicited. */
   void onResponseComplete() {
+    resetWritten();
     awaitingResponse = false;
   }
 
+  private void resetWritten() {
+    synchronized (writing) {
+      writtenBytes = 0;
+      allWritten = false;
+    }
+  }
+
+  /**
+   * Returns whether a request with a body of the given length has been written completely. Jetty
+   * writes the head and the beginning of the body together.
+   */
+  boolean isRequestWritten(int bodyBytes) {
+    synchronized (writing) {
+      return allWritten && writtenBytes > bodyBytes;
+    }
+  }
+
   /** Counts bytes of the response as content. */
   void countContent(int bytes) {
     contentBytes.addAndGet(bytes);
@@ -122,9 +143,15 @@
       used = true;
       responseBytes.set(0);
       contentBytes.set(0);
+      resetWritten();
       awaitingResponse = true;
     }
-    return super.flush(buffers);
+    synchronized (writing) {
+      long before = BufferUtil.remaining(buffers);
+      allWritten = super.flush(buffers);
+      writtenBytes += before - BufferUtil.remaining(buffers);
+      return allWritten;
+    }
   }
 
   /** Fails if the idle connection has ended or unsolicited bytes have arrived on it. */
