Break off streams that end within an event

Callers saw: a stream that may not be resumed ended as complete with half an event; the body of an error came in the middle of a resumed stream, which then ended as complete.

Cause: at the end of a response the bytes after the last event were passed on and the stream was ended, whatever they were. With a length or chunks a stopped server shows as a failure; a response without them, or a second server's 200 with a text that holds no event, does not.

Change: a stream with bytes after its last event (other than line ends) is broken: resumed where the route allows it, else cut. If its end is that of the connection, it counts as the loss of the server, as does a stream without any event.

CrashingRequestsHttpTest sends its sound prompt to a route without stream: the stand-in's answer has no event, which is no stream.

--- a/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/CallerChannel.java
+++ b/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/CallerChannel.java
@@ -118,10 +118,9 @@
     return true;
   }
 
-  /** Ends a streamed response after its last bytes. */
-  void endStream(byte[] rest) {
+  /** Ends a streamed response after what was sent of it. */
+  void endStream() {
     synchronized (pending) {
-      pending.writeBytes(rest);
       ending = true;
     }
     writeNext();
--- a/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/EventSplitter.java
+++ b/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/EventSplitter.java
@@ -61,9 +61,14 @@
     return whole;
   }
 
-  /** Returns the bytes of an incomplete last event. */
-  byte[] rest() {
-    return open.toByteArray();
+  /** Returns whether the stream ended within an event; line ends after the last event are none. */
+  boolean isWithinEvent() {
+    for (byte b : open.toByteArray()) {
+      if (b != '\n' && b != '\r') {
+        return true;
+      }
+    }
+    return false;
   }
 
   /** Returns the id of the last complete event, null if there is none. */
--- a/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/RelayAttempt.java
+++ b/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/RelayAttempt.java
@@ -307,12 +307,12 @@
   private void answered(ResponseHead h) {
     exchange.services().suspects().recordResponse(server.incarnation(), startMs);
     load.recordResponse(exchange.services().clock().nowMs() - startMs);
-    if (streaming) {
-      if (exchange.run().isResponseStarted() || events.rest().length > 0) {
-        endStream(h);
-      } else {
-        broken("the stream has no event");
-      }
+    if (streaming && events.isWithinEvent()) {
+      streamBroken("the stream ended within an event");
+    } else if (streaming && !exchange.run().isResponseStarted()) {
+      streamBroken("the stream has no event");
+    } else if (streaming) {
+      endStream(h);
     } else if (exchange.run().isResponseStarted()) {
       broken("status " + h.status() + " for the rest of a stream");
     } else if (!h.sealed() || impliesNotRun(h)) {
@@ -348,14 +348,9 @@
 
   private void endStream(ResponseHead h) {
     exchange.crashTracker().completed();
-    if (!exchange.run().isResponseStarted()) {
-      exchange
-          .caller()
-          .startStream(h.status(), exchange.services().dialect().responseHeaders(headers));
-    }
     logPassedOn(h, receivedBytes.get());
     exchange.answered();
-    exchange.caller().endStream(events.rest());
+    exchange.caller().endStream();
   }
 
   private void logPassedOn(@Nullable ResponseHead h, long bytes) {
@@ -370,6 +365,14 @@
         exchange.run().attempts());
   }
 
+  /** Ends an attempt whose stream is incomplete, although no failure was reported. */
+  private void streamBroken(String reason) {
+    if (ResponseFraming.of(headers) == ResponseFraming.CONNECTION) {
+      recordLostServer();
+    }
+    broken(reason);
+  }
+
   private void broken(String reason) {
     AttemptEnd end = sent ? AttemptEnd.BROKEN : AttemptEnd.NOT_SENT;
     if (!exchange.isOver()) {
