Encode and decode datagrams in one place

The five codecs of datagrams repeated how a packer is opened and which exceptions mean a malformed datagram. Datagrams holds both; the bytes are the same (codec tests unchanged).

--- a/org.cowslipyoke.transport/src/main/java/org/cowslipyoke/transport/CacheEventCodec.java
+++ b/org.cowslipyoke.transport/src/main/java/org/cowslipyoke/transport/CacheEventCodec.java
@@ -7,10 +7,6 @@
 import org.cowslipyoke.relay.CacheContents.Change;
 import org.cowslipyoke.relay.CacheEventBatch;
 import org.cowslipyoke.util.MalformedResponseException;
-import org.msgpack.core.MessageBufferPacker;
-import org.msgpack.core.MessagePack;
-import org.msgpack.core.MessagePackException;
-import org.msgpack.core.MessageUnpacker;
 
 /**
  * Cache events of a node as one datagram: the array [format, address, epoch, since, next, age,
@@ -35,18 +31,16 @@
 
   /** Encodes events; the result may exceed the size of a datagram. */
   public static byte[] encode(CacheEventBatch b) {
-    try (MessageBufferPacker p = MessagePack.newDefaultBufferPacker()) {
-      p.packArrayHeader(FIELDS).packInt(FORMAT).packString(b.address());
-      p.packLong(b.epoch()).packLong(b.since()).packLong(b.next()).packLong(b.ageMs());
-      p.packArrayHeader(b.changes().size());
-      for (Change c : b.changes()) {
-        p.packArrayHeader(EVENT_FIELDS).packLong(c.number());
-        p.packString(c.key().salt()).packString(c.key().part()).packInt(c.tokens());
-      }
-      return p.toByteArray();
-    } catch (IOException e) {
-      throw new IllegalStateException("a buffer in memory can't be written", e);
-    }
+    return Datagrams.encode(
+        p -> {
+          p.packArrayHeader(FIELDS).packInt(FORMAT).packString(b.address());
+          p.packLong(b.epoch()).packLong(b.since()).packLong(b.next()).packLong(b.ageMs());
+          p.packArrayHeader(b.changes().size());
+          for (Change c : b.changes()) {
+            p.packArrayHeader(EVENT_FIELDS).packLong(c.number());
+            p.packString(c.key().salt()).packString(c.key().part()).packInt(c.tokens());
+          }
+        });
   }
 
   /**
@@ -55,16 +49,17 @@
    * @throws MalformedResponseException if it contains no cache events of this format
    */
   public static CacheEventBatch decode(byte[] bytes, int length) throws MalformedResponseException {
-    try (MessageUnpacker u = MessagePack.newDefaultUnpacker(bytes, 0, length)) {
-      FieldReader f = new FieldReader(u, length);
-      if (f.header() != FIELDS || f.count() != FORMAT) {
-        throw new MalformedResponseException("unknown format of cache events");
-      }
-      return new CacheEventBatch(
-          f.name(), f.number(), f.size(), f.size(), f.size(), changes(f, length));
-    } catch (IOException | MessagePackException e) {
-      throw new MalformedResponseException("cache events not decoded: " + e);
-    }
+    return Datagrams.decode(
+        bytes,
+        length,
+        "cache events",
+        (u, f) -> {
+          if (f.header() != FIELDS || f.count() != FORMAT) {
+            throw new MalformedResponseException("unknown format of cache events");
+          }
+          return new CacheEventBatch(
+              f.name(), f.number(), f.size(), f.size(), f.size(), changes(f, length));
+        });
   }
 
   private static List<Change> changes(FieldReader f, int length)
--- a/org.cowslipyoke.transport/src/main/java/org/cowslipyoke/transport/LoadReportCodec.java
+++ b/org.cowslipyoke.transport/src/main/java/org/cowslipyoke/transport/LoadReportCodec.java
@@ -1,15 +1,10 @@
 package org.cowslipyoke.transport;
 
-import java.io.IOException;
 import java.util.HashMap;
 import java.util.Map;
 import org.cowslipyoke.relay.PeerLoads.Load;
 import org.cowslipyoke.relay.PeerLoads.Report;
 import org.cowslipyoke.util.MalformedResponseException;
-import org.msgpack.core.MessageBufferPacker;
-import org.msgpack.core.MessagePack;
-import org.msgpack.core.MessagePackException;
-import org.msgpack.core.MessageUnpacker;
 
 /**
  * A report of loads as one datagram: the array [format, vm, started, sequence, loads], where loads
@@ -32,26 +27,25 @@
 
   /** Encodes a report; servers above the bound are left out, those with the least work first. */
   public static byte[] encode(Report r) {
-    try (MessageBufferPacker p = MessagePack.newDefaultBufferPacker()) {
-      p.packArrayHeader(FIELDS).packInt(r.partial() ? PARTIAL : COMPLETE).packString(r.vm());
-      p.packLong(r.startedMs()).packLong(r.sequence());
-      p.packMapHeader(Math.min(MAX_SERVERS, r.loads().size()));
-      var busiest =
-          r.loads().entrySet().stream()
-              .sorted(
-                  (a, b) ->
-                      Long.compare(b.getValue().residentTokens(), a.getValue().residentTokens()))
-              .limit(MAX_SERVERS)
-              .toList();
-      for (var e : busiest) {
-        p.packString(e.getKey());
-        p.packArrayHeader(3).packInt(e.getValue().inFlight());
-        p.packLong(e.getValue().prefillTokens()).packLong(e.getValue().residentTokens());
-      }
-      return p.toByteArray();
-    } catch (IOException e) {
-      throw new IllegalStateException("a buffer in memory can't be written", e);
-    }
+    return Datagrams.encode(
+        p -> {
+          p.packArrayHeader(FIELDS).packInt(r.partial() ? PARTIAL : COMPLETE).packString(r.vm());
+          p.packLong(r.startedMs()).packLong(r.sequence());
+          p.packMapHeader(Math.min(MAX_SERVERS, r.loads().size()));
+          var busiest =
+              r.loads().entrySet().stream()
+                  .sorted(
+                      (a, b) ->
+                          Long.compare(
+                              b.getValue().residentTokens(), a.getValue().residentTokens()))
+                  .limit(MAX_SERVERS)
+                  .toList();
+          for (var e : busiest) {
+            p.packString(e.getKey());
+            p.packArrayHeader(3).packInt(e.getValue().inFlight());
+            p.packLong(e.getValue().prefillTokens()).packLong(e.getValue().residentTokens());
+          }
+        });
   }
 
   /**
@@ -60,31 +54,32 @@
    * @throws MalformedResponseException if it is no report of this format
    */
   public static Report decode(byte[] bytes, int length) throws MalformedResponseException {
-    try (MessageUnpacker u = MessagePack.newDefaultUnpacker(bytes, 0, length)) {
-      FieldReader f = new FieldReader(u, length);
-      int fields = f.header();
-      int format = f.count();
-      if (fields != FIELDS || (format != COMPLETE && format != PARTIAL)) {
-        throw new MalformedResponseException("unknown format of a load report");
-      }
-      String vm = f.name();
-      long startedMs = f.size();
-      long sequence = f.size();
-      int servers = u.unpackMapHeader();
-      if (servers > MAX_SERVERS) {
-        throw new MalformedResponseException("too many servers in a load report: " + servers);
-      }
-      Map<String, Load> loads = new HashMap<>();
-      for (int i = 0; i < servers; i++) {
-        String incarnation = f.name();
-        if (f.header() != 3) {
-          throw new MalformedResponseException("malformed load of " + incarnation);
-        }
-        loads.put(incarnation, new Load(f.count(), f.size(), f.size()));
-      }
-      return new Report(vm, startedMs, sequence, Map.copyOf(loads), format == PARTIAL);
-    } catch (IOException | MessagePackException e) {
-      throw new MalformedResponseException("load report not decoded: " + e);
-    }
+    return Datagrams.decode(
+        bytes,
+        length,
+        "load report",
+        (u, f) -> {
+          int fields = f.header();
+          int format = f.count();
+          if (fields != FIELDS || (format != COMPLETE && format != PARTIAL)) {
+            throw new MalformedResponseException("unknown format of a load report");
+          }
+          String vm = f.name();
+          long startedMs = f.size();
+          long sequence = f.size();
+          int servers = u.unpackMapHeader();
+          if (servers > MAX_SERVERS) {
+            throw new MalformedResponseException("too many servers in a load report: " + servers);
+          }
+          Map<String, Load> loads = new HashMap<>();
+          for (int i = 0; i < servers; i++) {
+            String incarnation = f.name();
+            if (f.header() != 3) {
+              throw new MalformedResponseException("malformed load of " + incarnation);
+            }
+            loads.put(incarnation, new Load(f.count(), f.size(), f.size()));
+          }
+          return new Report(vm, startedMs, sequence, Map.copyOf(loads), format == PARTIAL);
+        });
   }
 }
--- a/org.cowslipyoke.transport/src/main/java/org/cowslipyoke/transport/PartReportCodec.java
+++ b/org.cowslipyoke.transport/src/main/java/org/cowslipyoke/transport/PartReportCodec.java
@@ -1,15 +1,10 @@
 package org.cowslipyoke.transport;
 
-import java.io.IOException;
 import java.util.HashMap;
 import java.util.Map;
 import org.cowslipyoke.suspect.PartReport;
 import org.cowslipyoke.suspect.SuspectReport.CrashedRun;
 import org.cowslipyoke.util.MalformedResponseException;
-import org.msgpack.core.MessageBufferPacker;
-import org.msgpack.core.MessagePack;
-import org.msgpack.core.MessagePackException;
-import org.msgpack.core.MessageUnpacker;
 
 /**
  * A report of suspected prompt parts as one datagram: the array [format, crashes, begun], where
@@ -34,17 +29,15 @@
 
   /** Encodes a report. */
   public static byte[] encode(PartReport r) {
-    try (MessageBufferPacker p = MessagePack.newDefaultBufferPacker()) {
-      p.packArrayHeader(FIELDS).packInt(FORMAT);
-      SuspectReportCodec.packCrashes(p, r.crashes());
-      p.packMapHeader(r.begunAgesMs().size());
-      for (Map.Entry<Long, Long> e : r.begunAgesMs().entrySet()) {
-        p.packLong(e.getKey()).packLong(e.getValue());
-      }
-      return p.toByteArray();
-    } catch (IOException e) {
-      throw new IllegalStateException("a buffer in memory can't be written", e);
-    }
+    return Datagrams.encode(
+        p -> {
+          p.packArrayHeader(FIELDS).packInt(FORMAT);
+          SuspectReportCodec.packCrashes(p, r.crashes());
+          p.packMapHeader(r.begunAgesMs().size());
+          for (Map.Entry<Long, Long> e : r.begunAgesMs().entrySet()) {
+            p.packLong(e.getKey()).packLong(e.getValue());
+          }
+        });
   }
 
   /**
@@ -53,20 +46,21 @@
    * @throws MalformedResponseException if it is no report of this format
    */
   public static PartReport decode(byte[] bytes, int length) throws MalformedResponseException {
-    try (MessageUnpacker u = MessagePack.newDefaultUnpacker(bytes, 0, length)) {
-      FieldReader f = new FieldReader(u, length);
-      if (f.header() != FIELDS || f.count() != FORMAT) {
-        throw new MalformedResponseException("unknown format of a part report");
-      }
-      var crashes = SuspectReportCodec.crashes(u, f, length);
-      Map<Long, Long> begun = new HashMap<>();
-      int n = SuspectReportCodec.bounded(u.unpackMapHeader(), length);
-      for (int i = 0; i < n; i++) {
-        begun.put(f.number(), f.size());
-      }
-      return new PartReport(crashes, Map.copyOf(begun));
-    } catch (IOException | MessagePackException e) {
-      throw new MalformedResponseException("part report not decoded: " + e);
-    }
+    return Datagrams.decode(
+        bytes,
+        length,
+        "part report",
+        (u, f) -> {
+          if (f.header() != FIELDS || f.count() != FORMAT) {
+            throw new MalformedResponseException("unknown format of a part report");
+          }
+          var crashes = SuspectReportCodec.crashes(u, f, length);
+          Map<Long, Long> begun = new HashMap<>();
+          int n = SuspectReportCodec.bounded(u.unpackMapHeader(), length);
+          for (int i = 0; i < n; i++) {
+            begun.put(f.number(), f.size());
+          }
+          return new PartReport(crashes, Map.copyOf(begun));
+        });
   }
 }
--- a/org.cowslipyoke.transport/src/main/java/org/cowslipyoke/transport/SuspectReportCodec.java
+++ b/org.cowslipyoke.transport/src/main/java/org/cowslipyoke/transport/SuspectReportCodec.java
@@ -9,8 +9,6 @@
 import org.cowslipyoke.suspect.SuspectReport.CrashedRun;
 import org.cowslipyoke.util.MalformedResponseException;
 import org.msgpack.core.MessageBufferPacker;
-import org.msgpack.core.MessagePack;
-import org.msgpack.core.MessagePackException;
 import org.msgpack.core.MessageUnpacker;
 
 /**
@@ -36,21 +34,19 @@
 
   /** Encodes a report. */
   public static byte[] encode(SuspectReport r) {
-    try (MessageBufferPacker p = MessagePack.newDefaultBufferPacker()) {
-      p.packArrayHeader(FIELDS).packInt(FORMAT);
-      packCrashes(p, r.crashes());
-      p.packArrayHeader(r.cleared().size());
-      for (long f : r.cleared()) {
-        p.packLong(f);
-      }
-      p.packMapHeader(r.aliveAgesMs().size());
-      for (Map.Entry<String, Long> e : r.aliveAgesMs().entrySet()) {
-        p.packString(e.getKey()).packLong(e.getValue());
-      }
-      return p.toByteArray();
-    } catch (IOException e) {
-      throw new IllegalStateException("a buffer in memory can't be written", e);
-    }
+    return Datagrams.encode(
+        p -> {
+          p.packArrayHeader(FIELDS).packInt(FORMAT);
+          packCrashes(p, r.crashes());
+          p.packArrayHeader(r.cleared().size());
+          for (long f : r.cleared()) {
+            p.packLong(f);
+          }
+          p.packMapHeader(r.aliveAgesMs().size());
+          for (Map.Entry<String, Long> e : r.aliveAgesMs().entrySet()) {
+            p.packString(e.getKey()).packLong(e.getValue());
+          }
+        });
   }
 
   /**
@@ -59,26 +55,27 @@
    * @throws MalformedResponseException if it is no report of this format
    */
   public static SuspectReport decode(byte[] bytes, int length) throws MalformedResponseException {
-    try (MessageUnpacker u = MessagePack.newDefaultUnpacker(bytes, 0, length)) {
-      FieldReader f = new FieldReader(u, length);
-      if (f.header() != FIELDS || f.count() != FORMAT) {
-        throw new MalformedResponseException("unknown format of a suspect report");
-      }
-      Map<String, List<CrashedRun>> crashes = crashes(u, f, length);
-      List<Long> cleared = new ArrayList<>();
-      int n = bounded(f.header(), length);
-      for (int i = 0; i < n; i++) {
-        cleared.add(f.number());
-      }
-      Map<String, Long> alive = new HashMap<>();
-      int signs = bounded(u.unpackMapHeader(), length);
-      for (int i = 0; i < signs; i++) {
-        alive.put(f.name(), f.number());
-      }
-      return new SuspectReport(crashes, List.copyOf(cleared), Map.copyOf(alive));
-    } catch (IOException | MessagePackException e) {
-      throw new MalformedResponseException("suspect report not decoded: " + e);
-    }
+    return Datagrams.decode(
+        bytes,
+        length,
+        "suspect report",
+        (u, f) -> {
+          if (f.header() != FIELDS || f.count() != FORMAT) {
+            throw new MalformedResponseException("unknown format of a suspect report");
+          }
+          Map<String, List<CrashedRun>> crashes = crashes(u, f, length);
+          List<Long> cleared = new ArrayList<>();
+          int n = bounded(f.header(), length);
+          for (int i = 0; i < n; i++) {
+            cleared.add(f.number());
+          }
+          Map<String, Long> alive = new HashMap<>();
+          int signs = bounded(u.unpackMapHeader(), length);
+          for (int i = 0; i < signs; i++) {
+            alive.put(f.name(), f.number());
+          }
+          return new SuspectReport(crashes, List.copyOf(cleared), Map.copyOf(alive));
+        });
   }
 
   /** Encodes runs by the incarnation of the server that they lost. */
--- a/org.cowslipyoke.transport/src/main/java/org/cowslipyoke/transport/TableConfirmationCodec.java
+++ b/org.cowslipyoke.transport/src/main/java/org/cowslipyoke/transport/TableConfirmationCodec.java
@@ -1,12 +1,7 @@
 package org.cowslipyoke.transport;
 
-import java.io.IOException;
 import org.cowslipyoke.refresh.TableConfirmation;
 import org.cowslipyoke.util.MalformedResponseException;
-import org.msgpack.core.MessageBufferPacker;
-import org.msgpack.core.MessagePack;
-import org.msgpack.core.MessagePackException;
-import org.msgpack.core.MessageUnpacker;
 
 /**
  * A confirmation of a table as one datagram: the array [format, vm, table, digest, as of,
@@ -32,14 +27,12 @@
 
   /** Encodes a confirmation. */
   public static byte[] encode(Message m) {
-    try (MessageBufferPacker p = MessagePack.newDefaultBufferPacker()) {
-      TableConfirmation c = m.confirmation();
-      p.packArrayHeader(FIELDS).packInt(FORMAT).packString(m.vm()).packString(c.table());
-      p.packLong(c.digest()).packLong(c.asOfMs()).packInt(0);
-      return p.toByteArray();
-    } catch (IOException e) {
-      throw new IllegalStateException("a buffer in memory can't be written", e);
-    }
+    return Datagrams.encode(
+        p -> {
+          TableConfirmation c = m.confirmation();
+          p.packArrayHeader(FIELDS).packInt(FORMAT).packString(m.vm()).packString(c.table());
+          p.packLong(c.digest()).packLong(c.asOfMs()).packInt(0);
+        });
   }
 
   /**
@@ -48,14 +41,15 @@
    * @throws MalformedResponseException if it is no confirmation of this format
    */
   public static Message decode(byte[] bytes, int length) throws MalformedResponseException {
-    try (MessageUnpacker u = MessagePack.newDefaultUnpacker(bytes, 0, length)) {
-      FieldReader f = new FieldReader(u, length);
-      if (f.header() != FIELDS || f.count() != FORMAT) {
-        throw new MalformedResponseException("unknown format of a table confirmation");
-      }
-      return new Message(f.name(), new TableConfirmation(f.name(), f.number(), f.number()));
-    } catch (IOException | MessagePackException e) {
-      throw new MalformedResponseException("table confirmation not decoded: " + e);
-    }
+    return Datagrams.decode(
+        bytes,
+        length,
+        "table confirmation",
+        (u, f) -> {
+          if (f.header() != FIELDS || f.count() != FORMAT) {
+            throw new MalformedResponseException("unknown format of a table confirmation");
+          }
+          return new Message(f.name(), new TableConfirmation(f.name(), f.number(), f.number()));
+        });
   }
 }
--- a/org.cowslipyoke/src/main/java/org/cowslipyoke/suspect/PartSuspects.java
+++ b/org.cowslipyoke/src/main/java/org/cowslipyoke/suspect/PartSuspects.java
@@ -69,8 +69,13 @@
    */
   public record Hold(Set<Long> parts, int crashes, long untilMs) {}
 
+  /**
+   * A part that could have caused crashes.
+   *
+   * @param crashKey equal for parts that were at the same crashes
+   */
   private record Candidate(
-      long part, Set<String> incarnations, int crashes, long lastMs, boolean begunBefore) {}
+      long part, List<Crash> crashes, String crashKey, long lastMs, boolean begunBefore) {}
 
   private final Clock clock;
   private final ServerLiveness liveness;
@@ -313,18 +318,19 @@
   private synchronized void update() {
     List<Hold> next = new ArrayList<>();
     Set<String> explained = new HashSet<>();
-    Set<String> ofLast = Set.of();
+    String keyOfLast = "";
     for (Candidate c : candidates()) {
-      if (!next.isEmpty() && c.incarnations().equals(ofLast)) {
+      if (!next.isEmpty() && c.crashKey().equals(keyOfLast)) {
         next.add(withPart(next.remove(next.size() - 1), c.part()));
         continue;
       }
-      long unexplained = c.incarnations().stream().filter(i -> !explained.contains(i)).count();
+      long unexplained =
+          c.crashes().stream().filter(x -> !explained.contains(x.incarnation())).count();
       if (unexplained >= MIN_CRASHES) {
-        long untilMs = c.lastMs() + CrashSuspects.holdMs(c.crashes());
-        next.add(new Hold(Set.of(c.part()), c.crashes(), untilMs));
-        explained.addAll(c.incarnations());
-        ofLast = c.incarnations();
+        int n = c.crashes().size();
+        next.add(new Hold(Set.of(c.part()), n, c.lastMs() + CrashSuspects.holdMs(n)));
+        c.crashes().forEach(x -> explained.add(x.incarnation()));
+        keyOfLast = c.crashKey();
       }
     }
     if (!next.equals(holds)) {
@@ -358,16 +364,16 @@
         });
     all.sort(
         Comparator.comparing(Candidate::begunBefore)
-            .thenComparingInt(c -> -c.crashes())
-            .thenComparing(c -> String.join(" ", c.incarnations().stream().sorted().toList())));
+            .thenComparingInt(c -> -c.crashes().size())
+            .thenComparing(Candidate::crashKey));
     return all;
   }
 
   private static Candidate candidate(long part, List<Crash> counted, boolean begun) {
     return new Candidate(
         part,
-        counted.stream().map(Crash::incarnation).collect(Collectors.toUnmodifiableSet()),
-        counted.size(),
+        counted,
+        counted.stream().map(Crash::incarnation).sorted().collect(Collectors.joining(" ")),
         counted.stream().mapToLong(Crash::atMs).max().orElse(0),
         begun);
   }
