--- a/review/1/KeptChannels.java
+++ b/review/1/KeptChannels.java
@@ -21,7 +21,7 @@
   private static final String SERVICE = "kafi81c";
   private static final String ID = "i-31b174c273";
   private static final int CALLERS = 16;
-  private static final int SECONDS = Integer.getInteger("seconds", 75);
+  private static final int SECONDS = 75;
 
   /** Size of a request of the kind regra on the sheet. */
   private static final int BODY = 18_000;
--- a/review/standin/Entry.java
+++ b/review/standin/Entry.java
@@ -36,6 +36,8 @@
     env.put("COWSLIPYOKE_NODE_FILE", settings.toString());
     b.redirectErrorStream(true).redirectOutput(log.toFile());
     process = b.start();
+    // Ends the entry also if this process is ended from outside.
+    Runtime.getRuntime().addShutdownHook(new Thread(process::destroyForcibly));
   }
 
   /** Returns the words of {@code run} of the role entry in the deploy file. */
--- a/review/standin/Http.java
+++ b/review/standin/Http.java
@@ -39,6 +39,9 @@
     Map<String, String> headers = new TreeMap<>();
     for (String l = line(in); l != null && !l.isEmpty(); l = line(in)) {
       int colon = l.indexOf(':');
+      if (colon < 0) {
+        throw new IOException("no header: " + l);
+      }
       headers.put(l.substring(0, colon).toLowerCase(Locale.ROOT), l.substring(colon + 1).trim());
     }
     return new Head(first, headers);
