--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -4,7 +4,7 @@
 cd "$case/../.." || exit 2
 tmp=$(mktemp -d) || exit 2
 trap 'rm -rf "$tmp"' EXIT
-timeout -k 5 110 java $REVIEW_JAVA -Xmx256m -cp target/review review.Walls "$case" "$tmp"
+timeout -k 5 110 java -Xmx256m -cp target/review review.Walls "$case" "$tmp"
 code=$?
 [ $code -le 1 ] || exit 2
 exit $code
