Read a caller's connection under one lock

Cause: ReadAheadEndPoint.fill() checked under its lock that nothing was read ahead and then read the connection without it. The read interest that watch() had registered during the request before fired in another thread meanwhile, and readable() read the first bytes of the next request into its buffer. They were delivered after the bytes that fill() had read.

Change: fill() reads under the lock. The read does not block, and readable() read under the same lock before. The unused unwatch() goes.

Evidence: ReadAheadEndPointTest lets the interest fire during a read.

--- a/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/ReadAheadEndPoint.java
+++ b/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/ReadAheadEndPoint.java
@@ -52,11 +52,6 @@
     requestFill();
   }
 
-  /** Stops watching; bytes already read remain available to Jetty. */
-  synchronized void unwatch() {
-    onDisconnect = null;
-  }
-
   private void requestFill() {
     Callback ready = Callback.from(this::readable, e -> failed());
     if (!endPoint.tryFillInterested(ready)) {
@@ -120,15 +115,17 @@
     }
   }
 
+  /**
+   * Reads for Jetty. Holds the lock while it reads from the connection, since bytes that {@link
+   * #readable} reads ahead meanwhile would be delivered after later ones.
+   */
   @Override
-  public int fill(ByteBuffer buffer) throws IOException {
-    synchronized (this) {
-      if (BufferUtil.hasContent(ahead)) {
-        return BufferUtil.append(buffer, ahead);
-      }
-      if (ended) {
-        return -1;
-      }
+  public synchronized int fill(ByteBuffer buffer) throws IOException {
+    if (BufferUtil.hasContent(ahead)) {
+      return BufferUtil.append(buffer, ahead);
+    }
+    if (ended) {
+      return -1;
     }
     return endPoint.fill(buffer);
   }
