--- a/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/runtime/Main.java
+++ b/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/runtime/Main.java
@@ -13,6 +13,7 @@
 import org.apache.commons.cli.Options;
 import org.apache.commons.cli.ParseException;
 import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
 import org.cowslipyoke.daemon.runtime.DaemonRuntime.Ports;
 import org.cowslipyoke.errors.Failure;
 import org.cowslipyoke.util.Clock;
@@ -38,10 +39,13 @@
           .addOption(option(DaemonText.OPTION_HELP, DaemonText.HELP_HELP).get())
           .addOption(option(DaemonText.OPTION_VERSION, DaemonText.HELP_VERSION).get());
 
+  private static final Logger LOG = LogManager.getLogger(Main.class);
+
   private Main() {}
 
-  /** Runs the daemon until SIGTERM. */
+  /** Runs the daemon until SIGTERM; SIGHUP has no effect. */
   public static void main(String[] args) throws InterruptedException {
+    HangupSignal.handle(() -> LOG.info("hangup ignored: settings apply at the next start"));
     PrintWriter out = new PrintWriter(System.out, true, StandardCharsets.UTF_8);
     PrintWriter err = new PrintWriter(System.err, true, StandardCharsets.UTF_8);
     int code = run(args, out, err, RoleFactory::create);
