Keep a connection in use until its request is sent completely

Callers of a server that read on slowly got 504, callers after a broken connection 503, although the answer had arrived.

Cause: ServerEndPoint took a connection for idle as soon as the response was complete. The next write of the same request then counted as the first one of a new request on an idle connection and failed with NotSentException, which means that nothing was sent, and RelayAttempt sent the request again. HttpConnector resends by the same rule. Ruled out: a resend by Jetty's client, which has none here; and a retry by RequestAttempts, since the route allows one attempt and the log has no "attempt ended".

Change: a connection is in use until request and response are complete. An attempt ends with its complete response, also if the request isn't sent completely or sending it fails. HttpConnector returns such responses too.

--- a/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/RelayAttempt.java
+++ b/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/RelayAttempt.java
@@ -57,7 +57,7 @@
   private boolean promptRead;
   private long firstContentMs;
   private int resends;
-  private boolean ended;
+  private volatile boolean ended;
 
   RelayAttempt(RelayExchange exchange, BackendServer server, @Nullable PromptPlan plan) {
     this.exchange = exchange;
@@ -133,10 +133,13 @@
     }
   }
 
-  /** Aborts the exchange with the server and closes the connection. */
+  /**
+   * Aborts the exchange with the server and closes the connection. After a complete response the
+   * server may still read the rest of the request.
+   */
   void abort() {
     Request r = jetty;
-    if (r != null) {
+    if (r != null && !ended) {
       var unused = r.abort(new IllegalStateException("the request ended"));
     }
   }
@@ -236,6 +239,14 @@
     }
   }
 
+  /** Ends the attempt if the server has responded before it has read the whole request. */
+  @Override
+  public void onSuccess(Response response) {
+    if (!HttpConnector.isWritten(response.getRequest(), exchange.body().length)) {
+      end(null, response.getRequest());
+    }
+  }
+
   @Override
   public void onComplete(Result result) {
     if (ended) {
@@ -248,15 +259,24 @@
       post();
       return;
     }
+    end(result.getResponseFailure(), result.getRequest());
+  }
+
+  /**
+   * Ends the attempt.
+   *
+   * @param failure why there is no complete response, null if there is one
+   */
+  private void end(@Nullable Throwable failure, Request request) {
     ended = true;
     try {
-      completed(result);
+      completed(failure, request);
     } finally {
       buffer.release();
     }
   }
 
-  private void completed(Result result) {
+  private void completed(@Nullable Throwable failure, Request request) {
     if (!promptRead) {
       load.recordPrefillEnd(work);
     }
@@ -268,10 +288,10 @@
           .recordResidence(work.unsharedTokens(), exchange.services().clock().nowMs() - startMs);
     }
     ResponseHead h = head;
-    if (result.isFailed() || h == null) {
-      sent &= !HttpConnector.isNotSent(result.getFailure());
-      recordLostServer(result);
-      broken(summary(result.getFailure()));
+    if (failure != null || h == null) {
+      sent &= !HttpConnector.isNotSent(failure);
+      recordLostServer(failure, request);
+      broken(summary(failure));
       return;
     }
     if (h.misdirected()) {
@@ -290,10 +310,9 @@
    * request was written counts, not a time-out, a malformed response or a pooled connection that
    * was closed before.
    */
-  private void recordLostServer(Result result) {
-    Throwable failure = result.getFailure();
+  private void recordLostServer(@Nullable Throwable failure, Request request) {
     boolean lost = failure instanceof EOFException || failure instanceof SocketException;
-    if (lost && HttpConnector.isWritten(result.getRequest(), exchange.body().length)) {
+    if (lost && HttpConnector.isWritten(request, exchange.body().length)) {
       recordLostServer();
     }
   }
--- a/org.cowslipyoke.http/src/main/java/org/cowslipyoke/http/HttpConnector.java
+++ b/org.cowslipyoke.http/src/main/java/org/cowslipyoke/http/HttpConnector.java
@@ -263,7 +263,7 @@
               FailureKind.RESPONSE_TOO_LARGE,
               "response exceeds " + limits.maxResponseBytes() + " bytes"));
     }
-    if (result.isFailed()) {
+    if (result.getResponseFailure() != null) {
       if (isNotSent(result.getFailure())) {
         begun.set(false);
       }
--- a/org.cowslipyoke.http/src/main/java/org/cowslipyoke/http/internal/ServerConnections.java
+++ b/org.cowslipyoke.http/src/main/java/org/cowslipyoke/http/internal/ServerConnections.java
@@ -11,7 +11,7 @@
 import org.eclipse.jetty.io.ManagedSelector;
 import org.jspecify.annotations.Nullable;
 
-/** Opens connections as {@link ServerEndPoint}s and notifies them of complete responses. */
+/** Opens connections as {@link ServerEndPoint}s and notifies them of complete messages. */
 public final class ServerConnections extends ClientConnector implements Request.QueuedListener {
 
   private final long maxResponseBytes;
@@ -34,9 +34,17 @@
 
   @Override
   public void onQueued(Request request) {
+    request.onRequestSuccess(ServerConnections::onRequestComplete);
     request.onResponseSuccess(ServerConnections::onResponseComplete);
   }
 
+  private static void onRequestComplete(Request request) {
+    ServerEndPoint e = endPoint(request);
+    if (e != null) {
+      e.onRequestComplete();
+    }
+  }
+
   private static void onResponseComplete(Response response) {
     ServerEndPoint e = endPoint(response);
     if (e != null) {
--- a/org.cowslipyoke.http/src/main/java/org/cowslipyoke/http/internal/ServerEndPoint.java
+++ b/org.cowslipyoke.http/src/main/java/org/cowslipyoke/http/internal/ServerEndPoint.java
@@ -34,12 +34,23 @@
   private final long maxResponseBytes;
   private final AtomicLong responseBytes = new AtomicLong();
   private final AtomicLong contentBytes = new AtomicLong();
-  private final Object writing = new Object();
+  private final Object lock = new Object();
+  private Phase phase = Phase.NEW;
+  private boolean responseComplete;
+  private boolean requestComplete;
   private long writtenBytes;
   private boolean allWritten;
-  private volatile boolean awaitingResponse;
   private volatile boolean ended;
-  private boolean used;
+
+  /** State of the connection, guarded by the lock. */
+  private enum Phase {
+    /** No request was sent yet. */
+    NEW,
+    /** A request is being sent, or its response is not complete. */
+    IN_USE,
+    /** The last request and its response are complete. */
+    IDLE
+  }
 
   ServerEndPoint(
       SocketChannel channel,
@@ -51,25 +62,48 @@
     this.maxResponseBytes = maxResponseBytes;
   }
 
-  /** Records that the response is complete: bytes before the next request are unsolicited. */
+  /**
+   * Records that the response is complete: bytes before the next request are unsolicited. The
+   * connection remains in use until the request is complete too, since a server may respond before
+   * it has read the whole request.
+   */
   void onResponseComplete() {
-    resetWritten();
-    awaitingResponse = false;
+    synchronized (lock) {
+      responseComplete = true;
+      endExchange();
+    }
   }
 
-  private void resetWritten() {
-    synchronized (writing) {
-      writtenBytes = 0;
-      allWritten = false;
+  /** Records that the request was sent completely. */
+  void onRequestComplete() {
+    synchronized (lock) {
+      requestComplete = true;
+      endExchange();
     }
   }
 
+  private void endExchange() {
+    if (phase == Phase.IN_USE && responseComplete && requestComplete) {
+      phase = Phase.IDLE;
+    }
+  }
+
+  private void beginExchange() {
+    phase = Phase.IN_USE;
+    responseComplete = false;
+    requestComplete = false;
+    responseBytes.set(0);
+    contentBytes.set(0);
+    writtenBytes = 0;
+    allWritten = false;
+  }
+
   /**
    * Returns whether a request with a body of the given length has been written completely. Jetty
    * writes the head and the beginning of the body together.
    */
   boolean isRequestWritten(int bodyBytes) {
-    synchronized (writing) {
+    synchronized (lock) {
       return allWritten && writtenBytes > bodyBytes;
     }
   }
@@ -105,25 +139,28 @@
   }
 
   /**
-   * Reads from the channel. On an idle connection, a reset or unsolicited bytes are treated as the
-   * regular end of the connection.
+   * Reads from the channel. Unless a response is expected, a reset or unsolicited bytes are treated
+   * as the regular end of the connection.
    */
   private int read(ByteBuffer buffer) throws IOException {
-    int start = buffer.position();
-    int n;
-    try {
-      n = getChannel().read(buffer);
-    } catch (IOException e) {
-      if (awaitingResponse) {
-        throw e;
+    synchronized (lock) {
+      boolean responseExpected = phase == Phase.IN_USE && !responseComplete;
+      int start = buffer.position();
+      int n;
+      try {
+        n = getChannel().read(buffer);
+      } catch (IOException e) {
+        if (responseExpected) {
+          throw e;
+        }
+        return -1;
       }
-      return -1;
-    }
-    if (n > 0 && !awaitingResponse) {
-      buffer.position(start);
-      return -1;
+      if (n > 0 && !responseExpected) {
+        buffer.position(start);
+        return -1;
+      }
+      return n;
     }
-    return n;
   }
 
   private void checkBounds(int filled) throws IOException {
@@ -136,17 +173,13 @@
 
   @Override
   public boolean flush(ByteBuffer... buffers) throws IOException {
-    if (!awaitingResponse) {
-      if (used) {
-        checkIdleConnection();
+    synchronized (lock) {
+      if (phase != Phase.IN_USE) {
+        if (phase == Phase.IDLE) {
+          checkIdleConnection();
+        }
+        beginExchange();
       }
-      used = true;
-      responseBytes.set(0);
-      contentBytes.set(0);
-      resetWritten();
-      awaitingResponse = true;
-    }
-    synchronized (writing) {
       long before = BufferUtil.remaining(buffers);
       allWritten = super.flush(buffers);
       writtenBytes += before - BufferUtil.remaining(buffers);
