Judge unsolicited bytes of a server under the lock of the read

Unsolicited bytes on an idle connection could pass as the begin of the next response.

Cause: one thread read the bytes, another began the next request, whose look at the idle connection found nothing any more, and only then did the first thread decide whether a response was expected.

Change: the end of the stream is recorded under the lock and looked at before a request is sent, which is then sent on another connection.

--- a/org.cowslipyoke.http/src/main/java/org/cowslipyoke/http/internal/ServerEndPoint.java
+++ b/org.cowslipyoke.http/src/main/java/org/cowslipyoke/http/internal/ServerEndPoint.java
@@ -132,7 +132,6 @@
       notIdle();
       checkBounds(filled);
     } else if (filled == -1) {
-      ended = true;
       shutdownInput();
     }
     return filled;
@@ -153,12 +152,13 @@
         if (responseExpected) {
           throw e;
         }
-        return -1;
+        n = -1;
       }
       if (n > 0 && !responseExpected) {
         buffer.position(start);
-        return -1;
+        n = -1;
       }
+      ended = n < 0;
       return n;
     }
   }
@@ -189,7 +189,7 @@
 
   /** Fails if the idle connection has ended or unsolicited bytes have arrived on it. */
   private void checkIdleConnection() throws IOException {
-    if (!isOpen() || isInputShutdown()) {
+    if (ended || !isOpen() || isInputShutdown()) {
       throw new NotSentException("idle connection was closed", null);
     }
     int n;
