Leave the shared salt when an organisation stops sharing KV cache

Cause: the salt of the organisations that share named model and weights only, so it stayed the same when one of them stopped sharing. Ruled out: a desired state that comes into force late, since the organisation's own prompts had their new salt at once. Beside it, a retry took the organisation's policy from the state at its admission and would have made parts under the shared salt.

Change: CacheIsolation, a part of the desired state, gives the salt. That of the organisations that share has a digest of the names of those that don't, so all entries leave the old one together, without coordination and also after a restart. Placement asks the state in force by the organisation's name. A state without isolated organisations has the salt as before.

Evidence: CacheIsolationTest; with the salt as it was in its place, othersLeaveTheSaltOfAnOrganisationThatStopsSharing fails, all pass now.

--- a/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/RelayExchange.java
+++ b/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/RelayExchange.java
@@ -195,7 +195,7 @@
           s.filter(x -> tryAcquireCold(state, group, x)).orElse(null), null, none);
     }
     Optional<PromptPlan> plan =
-        services.prompts().choose(request.prompt(), admitted.tenancy(), state, group, candidates);
+        services.prompts().choose(request.prompt(), organisation(), state, group, candidates);
     if (plan.isEmpty()) {
       return new PlacementResult(null, null, none);
     }
--- a/org.cowslipyoke/src/main/java/org/cowslipyoke/relay/DesiredState.java
+++ b/org.cowslipyoke/src/main/java/org/cowslipyoke/relay/DesiredState.java
@@ -11,6 +11,7 @@
  * @param stores KV cache stores
  * @param requiresKeys whether requests need a key, except on open routes
  * @param keys policy of the owning organisation by key
+ * @param isolation separation of the KV cache of organisations
  * @param maxBodyBytes maximum size of a request body in bytes
  * @param callerIdleTimeoutMs idle time-out of callers' connections in milliseconds
  */
@@ -21,5 +22,6 @@
     List<CacheStore> stores,
     boolean requiresKeys,
     Map<String, OrganisationPolicy> keys,
+    CacheIsolation isolation,
     int maxBodyBytes,
     long callerIdleTimeoutMs) {}
--- a/org.cowslipyoke/src/main/java/org/cowslipyoke/relay/PromptPlacement.java
+++ b/org.cowslipyoke/src/main/java/org/cowslipyoke/relay/PromptPlacement.java
@@ -88,7 +88,8 @@
   /** Inputs of the placement of one prompt. */
   private record PlacementContext(
       Prompt prompt,
-      @Nullable OrganisationPolicy tenancy,
+      @Nullable String organisation,
+      CacheIsolation isolation,
       FleetState state,
       ServerGroup group,
       List<BackendServer> candidates,
@@ -114,10 +115,14 @@
       double expectedMs,
       double costMs) {}
 
-  /** Chooses a server; returns empty if no candidate has weights that may be used. */
+  /**
+   * Chooses a server; returns empty if no candidate has weights that may be used.
+   *
+   * @param organisation owner of the prompt, null on an open route
+   */
   public Optional<PromptPlan> choose(
       Prompt p,
-      @Nullable OrganisationPolicy tenancy,
+      @Nullable String organisation,
       FleetState state,
       ServerGroup group,
       List<BackendServer> candidates) {
@@ -130,7 +135,8 @@
     PlacementContext context =
         new PlacementContext(
             p,
-            tenancy,
+            organisation,
+            state.desired() == null ? CacheIsolation.NONE : state.desired().isolation(),
             state,
             group,
             candidates,
@@ -158,17 +164,6 @@
         .toList();
   }
 
-  /**
-   * Returns the cache salt: separate for each weights version, and for each organisation whose
-   * cache is isolated.
-   */
-  static String salt(String model, int weights, @Nullable OrganisationPolicy tenancy) {
-    String shared = model + ".v" + weights;
-    return tenancy != null && tenancy.isolatedCache()
-        ? shared + "." + tenancy.organisation()
-        : shared;
-  }
-
   private @Nullable ScoredServer score(PlacementContext context, BackendServer server, int rank) {
     Prompt p = context.prompt();
     int weights = loads.weights(server, p.model());
@@ -180,7 +175,7 @@
     if (target != null && old && isFinal(context, target)) {
       return null;
     }
-    String salt = salt(p.model(), weights, context.tenancy());
+    String salt = context.isolation().salt(p.model(), weights, context.organisation());
     CachedPrefix held = transfers.cachedPrefix(server, salt, p);
     int fetched = fetchableTokens(context, salt, held);
     int unread = Math.max(1, p.promptTokens() - held.tokens() - fetched);
