Refuse no prompt because this entry polls late

An entry that had just started, or that was short of processor time, refused prompts as too late ("the first event is expected in 2092 ms") although its engines were idle.

Cause: placement added 2,000 ms to the expected time at an engine that had not answered a poll for cache events for 1,200 ms, also before the first poll, and although all engines looked silent, which points at the entry. SilentServers made that distinction for requests in progress, placement didn't.

Change: SilentServers decides for both. Silence counts as expected wait only if the engine has answered before and no more than half of its group is silent; else it is a penalty that orders engines and refuses nothing.

--- a/org.cowslipyoke.test/src/test/java/org/cowslipyoke/relay/PromptPlacementTest.java
+++ b/org.cowslipyoke.test/src/test/java/org/cowslipyoke/relay/PromptPlacementTest.java
@@ -250,4 +250,40 @@
         p.estimateMs(),
         0.001);
   }
+
+  /** Guards against refusing prompts after a start, when engines have not been polled yet. */
+  @Test
+  void engineThatWasNeverPolledIsNotExpectedToBeLate() {
+    BackendServer fresh = RelayFixture.server("fresh", 1);
+    assertEquals(0, fixture.directory.contents(fresh.address()).nextEvent());
+    fixture.state.updateServers(Map.of("fresh", fresh), fixture.clock.nowMs());
+    assertTrue(plan(RelayFixture.prompt("org", "doc")).orElseThrow().estimateMs() < 500);
+  }
+
+  /** Guards against refusing prompts because this entry polls late. */
+  @Test
+  void silenceOfMostEnginesOnlyOrdersThem() {
+    fixture.clock.advance(CacheDirectory.MAX_AGE_MS + 1);
+    assertTrue(plan(RelayFixture.prompt("org", "doc")).orElseThrow().estimateMs() < 500);
+    fixture.directory.contents(s2.address()).recordResponse(fixture.clock.nowMs());
+    for (int i = 0; i < 10; i++) {
+      assertEquals("s2", plan(RelayFixture.prompt("org", "doc" + i)).orElseThrow().server().id());
+    }
+  }
+
+  /** Guards against waiting for a dark engine while the others respond. */
+  @Test
+  void silentEngineIsExpectedToBeLateIfOthersRespond() {
+    fixture.clock.advance(CacheDirectory.MAX_AGE_MS + 1);
+    fixture.directory.contents(s2.address()).recordResponse(fixture.clock.nowMs());
+    fixture.directory.contents(s3.address()).recordResponse(fixture.clock.nowMs());
+    FleetState s = fixture.state.get();
+    ServerGroup group =
+        requireNonNull(requireNonNull(s.desired()).groups().get(RelayFixture.GROUP));
+    PromptPlan p =
+        placement
+            .choose(RelayFixture.prompt("org", "doc"), null, s, group, List.of(s1))
+            .orElseThrow();
+    assertTrue(p.estimateMs() > PromptPlacement.UNRESPONSIVE_MS);
+  }
 }
--- a/org.cowslipyoke/src/main/java/org/cowslipyoke/relay/CacheContents.java
+++ b/org.cowslipyoke/src/main/java/org/cowslipyoke/relay/CacheContents.java
@@ -13,6 +13,9 @@
   /** Maximum number of parts tracked per node; above the capacity of the largest deployed store. */
   static final int MAX_PARTS = 16_384;
 
+  /** Time of a read that never was; differences to it don't overflow. */
+  private static final long NEVER_MS = Long.MIN_VALUE / 2;
+
   /**
    * Identifies a cached part.
    *
@@ -40,8 +43,8 @@
   private final Map<Key, Integer> parts = new HashMap<>();
   private long epoch = -1;
   private long epochSinceMs;
-  private long readMs = Long.MIN_VALUE / 2;
-  private long aliveMs = Long.MIN_VALUE / 2;
+  private long readMs = NEVER_MS;
+  private long aliveMs = NEVER_MS;
   private long nextEvent;
   private long usedTokens;
 
@@ -136,6 +139,11 @@
     aliveMs = sentMs;
   }
 
+  /** Returns whether the node has answered a request since it became known. */
+  public synchronized boolean hasAnswered() {
+    return aliveMs > NEVER_MS;
+  }
+
   /** Returns the time since the last answered request was sent, in milliseconds. */
   public synchronized long sinceAnswerMs(long nowMs) {
     return nowMs - aliveMs;
--- a/org.cowslipyoke/src/main/java/org/cowslipyoke/relay/CacheDirectory.java
+++ b/org.cowslipyoke/src/main/java/org/cowslipyoke/relay/CacheDirectory.java
@@ -47,6 +47,12 @@
     return c == null || c.ageMs(clock.nowMs()) > MAX_AGE_MS ? 0 : c.tokens(key);
   }
 
+  /** Returns whether a node has answered a poll since it became known. */
+  public boolean hasAnswered(String address) {
+    CacheContents c = contentsByAddress.get(address);
+    return c != null && c.hasAnswered();
+  }
+
   /** Returns whether a polled node has not answered within {@link #MAX_AGE_MS}. */
   public boolean isSilent(String address) {
     CacheContents c = contentsByAddress.get(address);
--- a/org.cowslipyoke/src/main/java/org/cowslipyoke/relay/PromptPlacement.java
+++ b/org.cowslipyoke/src/main/java/org/cowslipyoke/relay/PromptPlacement.java
@@ -50,7 +50,10 @@
   /** Factor by which transfers between failure domains take longer, as the platform states. */
   static final double REMOTE_TRANSFER_FACTOR = 2;
 
-  /** Expected wait at a server that does not answer its event reader, in milliseconds. */
+  /**
+   * Expected wait at a server that does not answer its event reader, in milliseconds. Only a
+   * penalty if the cause may be this entry, because a request must not be refused for that.
+   */
   static final double UNRESPONSIVE_MS = 2_000;
 
   private final Clock clock;
@@ -58,6 +61,7 @@
   private final ServerLoads loads;
   private final PeerLoads peers;
   private final CacheDirectory directory;
+  private final SilentServers silentServers;
   private final CacheTransferPlanner transfers;
   private final long oldWeightsMaxMs;
 
@@ -81,6 +85,7 @@
     this.loads = loads;
     this.peers = peers;
     this.directory = directory;
+    this.silentServers = new SilentServers(directory);
     this.transfers = kept;
     this.oldWeightsMaxMs = oldWeightsMaxMs;
   }
@@ -94,6 +99,7 @@
       ServerGroup group,
       List<BackendServer> candidates,
       FleetLoad load,
+      boolean pollingSound,
       List<CacheStore> stores,
       Map<String, Integer> fetchableBySalt) {}
 
@@ -141,6 +147,7 @@
             group,
             candidates,
             FleetLoad.of(loads, peers, candidates, state.entries()),
+            silentServers.isOwnPollingSound(state.available(group.name())),
             managedStores(state, group),
             new HashMap<>());
     ScoredServer best = null;
@@ -182,7 +189,7 @@
     PromptWork work = PromptWork.of(p, salt, unread);
     Load load = context.load().loadAt(server);
     double expected = expectedMs(context, server, load, work) + fetched * fetchMsPerToken(context);
-    double cost = expected + penaltyMs(server, old) + RANK_MS * rank;
+    double cost = expected + penaltyMs(context, server, old) + RANK_MS * rank;
     return new ScoredServer(server, weights, salt, held, fetched, work, load, expected, cost);
   }
 
@@ -195,20 +202,26 @@
         EngineLatencyModel.prefillMs(load.prefillTokens() + work.prefillTokens(), load.inFlight());
     expected += memoryWaitMs(context, load, own.addedTokens(work));
     expected += own.isLoading() ? LOADING_MS : 0;
-    expected += directory.isSilent(server.address()) ? UNRESPONSIVE_MS : 0;
+    expected += isUnresponsive(context, server) ? UNRESPONSIVE_MS : 0;
     return expected;
   }
 
   /** Returns the penalties of a server in milliseconds that need not delay the request. */
-  private double penaltyMs(BackendServer server, boolean oldWeights) {
+  private double penaltyMs(PlacementContext context, BackendServer server, boolean oldWeights) {
     ServerLoad own = loads.of(server);
     double penalty = server.failureDomain().equals(ownDomain) ? 0 : REMOTE_MS;
     penalty += FAILURE_MS * own.recentFailures();
     penalty += oldWeights ? OLD_WEIGHTS_MS : 0;
     penalty += own.isFull() ? FULL_MS : 0;
+    boolean silent = directory.isSilent(server.address());
+    penalty += silent && !isUnresponsive(context, server) ? UNRESPONSIVE_MS : 0;
     return penalty;
   }
 
+  private boolean isUnresponsive(PlacementContext context, BackendServer server) {
+    return silentServers.isUnresponsive(server, context.pollingSound());
+  }
+
   /** Returns whether weights older than the target must no longer be used for new requests. */
   private boolean isFinal(PlacementContext context, WeightTarget target) {
     boolean inPlace =
--- a/org.cowslipyoke/src/main/java/org/cowslipyoke/relay/SilentServers.java
+++ b/org.cowslipyoke/src/main/java/org/cowslipyoke/relay/SilentServers.java
@@ -3,9 +3,9 @@
 import java.util.List;
 
 /**
- * Decides when an attempt is taken from a server that has stopped responding without closing its
- * connections, as a server that lost power or its network does. Its streams would otherwise wait
- * until the deadline of their callers.
+ * Decides whether a server has stopped responding without closing its connections, as a server that
+ * lost power or its network does. Its streams would otherwise wait until the deadline of their
+ * callers, and new requests would be placed on it.
  */
 public final class SilentServers {
 
@@ -35,9 +35,25 @@
    * @param idleMs time without a byte of the response, in milliseconds
    */
   public boolean isAttemptLost(List<BackendServer> servers, BackendServer server, long idleMs) {
-    if (idleMs < MIN_IDLE_MS || !directory.isSilent(server.address())) {
-      return false;
-    }
+    return idleMs >= MIN_IDLE_MS
+        && directory.isSilent(server.address())
+        && isOwnPollingSound(servers);
+  }
+
+  /**
+   * Returns whether a new request would have to wait at a server for that reason. A server that has
+   * not answered its first poll is not counted, since this entry may have just started.
+   *
+   * @param pollingSound result of {@link #isOwnPollingSound} for the group of the server
+   */
+  public boolean isUnresponsive(BackendServer server, boolean pollingSound) {
+    return pollingSound
+        && directory.isSilent(server.address())
+        && directory.hasAnswered(server.address());
+  }
+
+  /** Returns whether so few servers of a group are silent that the cause is not this entry. */
+  public boolean isOwnPollingSound(List<BackendServer> servers) {
     long silent = servers.stream().filter(s -> directory.isSilent(s.address())).count();
     return silent <= MAX_SILENT_FRACTION * servers.size();
   }
