Wait for bodies and responses when the entry stops

The process also ended while a response was still being written to a slow caller.

Cause: the handler looked whether requests are refused when the head had arrived, not when the body had, and the process ended when no exchange was at a server.

Change: the handler looks again before it starts an exchange. It counts each request from its head to the end of its written response, and the process waits for that count within the grace period.

--- a/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/Relay.java
+++ b/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/Relay.java
@@ -188,16 +188,16 @@
     return HttpConnector.openConnections(client);
   }
 
-  /** Returns the number of requests in progress. */
-  public int runningRequests() {
-    return handler.running();
+  /** Returns the number of requests whose responses have not been written completely. */
+  public int unansweredRequests() {
+    return handler.unanswered();
   }
 
   /**
    * Stops gracefully: accepts requests for {@link #DRAIN_DELAY_MS}, then refuses new ones and waits
-   * for those in progress.
+   * until the responses to all others are written.
    *
-   * @param maxMs maximum duration in milliseconds; requests still running then are abandoned
+   * @param maxMs maximum duration in milliseconds; requests unanswered then are abandoned
    */
   public void drain(long maxMs) throws InterruptedException {
     long startMs = clock.nowMs();
@@ -206,10 +206,10 @@
       Thread.sleep(DRAIN_STEP_MS);
     }
     handler.refuseNew();
-    while (handler.running() > 0 && clock.nowMs() - startMs < maxMs) {
+    while (handler.unanswered() > 0 && clock.nowMs() - startMs < maxMs) {
       Thread.sleep(DRAIN_STEP_MS);
     }
-    LOG.info("drained: running={} tookMs={}", handler.running(), clock.nowMs() - startMs);
+    LOG.info("drained: running={} tookMs={}", handler.unanswered(), clock.nowMs() - startMs);
   }
 
   private ServerConnector connector(Options o) {
--- a/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/RelayHandler.java
+++ b/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/RelayHandler.java
@@ -3,6 +3,7 @@
 import io.vavr.control.Either;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.cowslipyoke.errors.ErrorKind;
@@ -23,11 +24,16 @@
 
   private static final Logger LOG = LogManager.getLogger(RelayHandler.class);
 
+  /** Refusal of a request that a stopping process gets; another entry takes it at once. */
+  private static final Failure STOPPING =
+      new Failure(ErrorKind.SHUTTING_DOWN, "the process stops", 100);
+
   /** Maximum body size until a desired state was read, in bytes. */
   private static final int DEFAULT_MAX_BODY_BYTES = 1 << 20;
 
   private final RelayContext services;
   private final Set<RelayExchange> running = ConcurrentHashMap.newKeySet();
+  private final AtomicInteger unanswered = new AtomicInteger();
   private volatile boolean closing;
   private volatile boolean refusing;
 
@@ -45,9 +51,9 @@
     refusing = true;
   }
 
-  /** Returns the number of requests in progress. */
-  int running() {
-    return running.size();
+  /** Returns the number of requests whose responses have not been written completely. */
+  int unanswered() {
+    return unanswered.get();
   }
 
   /** Takes resumable requests from servers that have stopped responding. */
@@ -65,15 +71,23 @@
   public boolean handle(Request request, Response response, Callback callback) {
     final long startMs = services.clock().nowMs();
     request.addIdleTimeoutListener(e -> false);
+    unanswered.incrementAndGet();
+    Callback written =
+        new Callback.Nested(callback) {
+          @Override
+          public void completed() {
+            unanswered.decrementAndGet();
+          }
+        };
     CallerChannel caller =
-        new CallerChannel(request, response, callback, services.dialect(), closing);
+        new CallerChannel(request, response, written, services.dialect(), closing);
     Either<Failure, RelayRequest> decoded = services.dialect().decodeRequest(request);
     if (decoded.isLeft()) {
       return refuse(caller, decoded.getLeft(), null);
     }
     RelayRequest r = decoded.get();
     if (refusing) {
-      return refuse(caller, new Failure(ErrorKind.SHUTTING_DOWN, "the process stops", 100), r);
+      return refuse(caller, STOPPING, r);
     }
     DesiredState d = services.state().get().desired();
     int max = d == null ? DEFAULT_MAX_BODY_BYTES : d.maxBodyBytes();
@@ -108,6 +122,11 @@
   }
 
   private void begin(CallerChannel caller, RelayRequest r, byte[] body, long startMs) {
+    if (refusing) {
+      // The body arrived after the others were refused; the process may end before its response.
+      refuse(caller, STOPPING, r);
+      return;
+    }
     try {
       Either<Failure, AdmittedRequest> admitted = services.admission().admit(r);
       if (admitted.isLeft()) {
