Bound the memory of all responses that a connector buffers

Faulty engines that answered polls for cache events without end filled the heap of an entry (reported by other operators for their systems).

Cause: a response to a call of the entry itself could have 4 MB, and nothing bounded all of them together. Responses to callers' requests had a budget.

Change: HttpConnector buffers responses within a ResponseMemoryBudget, by default a sixth of the heap. In an entry, calls to servers have a budget of their own, so that responses of the store always find memory. ResponseBuffer and the budget move to the module http; the relay's limits stay as they are.

--- a/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/Relay.java
+++ b/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/Relay.java
@@ -9,6 +9,7 @@
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.cowslipyoke.http.HttpConnector;
+import org.cowslipyoke.http.ResponseMemoryBudget;
 import org.cowslipyoke.relay.Admission;
 import org.cowslipyoke.relay.CacheDirectory;
 import org.cowslipyoke.relay.CacheTransferPlanner;
@@ -32,6 +33,15 @@
 /** HTTP server of an entry that passes requests on to backend servers. */
 public final class Relay {
 
+  /** Maximum size of a buffered response in bytes. */
+  static final int MAX_RESPONSE_BYTES = 4 << 20;
+
+  /**
+   * Bytes that all buffered responses may have together beyond their reserves; a sixth of an
+   * entry's heap.
+   */
+  static final long MAX_BUFFERED_BYTES = 16L << 20;
+
   /**
    * Time for which a stopping process still accepts requests, in milliseconds. The platform checks
    * readiness every second and removes an entry after two failed checks. Below 3,000 ms, since a
@@ -124,8 +134,7 @@
     suspects.parts().setListener(holds -> PartHolds.logChange(holds, clock));
     this.timers = Executors.newSingleThreadScheduledExecutor(Relay::timerThread);
     HttpConnector.Limits limits =
-        new HttpConnector.Limits(
-            MAX_CONNECTIONS, MAX_CONNECTIONS, CONNECT_MS, ResponseBuffer.MAX_BYTES);
+        new HttpConnector.Limits(MAX_CONNECTIONS, MAX_CONNECTIONS, CONNECT_MS, MAX_RESPONSE_BYTES);
     this.client = HttpConnector.startClient("", limits, threads, SERVER_IDLE_MS);
     meters.gauge("cowslipyoke_relay_connections", client, HttpConnector::openConnections);
     client.setUserAgentField(null);
@@ -150,7 +159,7 @@
             loads,
             new ColdStartLimiter(clock),
             new ServiceRetryBudget(clock, o.budgetWindowMs(), o.budgetRatio(), o.budgetBase()),
-            new ResponseMemoryBudget(),
+            new ResponseMemoryBudget(MAX_BUFFERED_BYTES),
             suspects,
             new SilentServers(caches),
             new RelayMetrics(meters));
--- a/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/RelayAttempt.java
+++ b/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/RelayAttempt.java
@@ -9,6 +9,7 @@
 import org.apache.logging.log4j.Logger;
 import org.cowslipyoke.daemon.relay.RelayDialect.ResponseHead;
 import org.cowslipyoke.http.HttpConnector;
+import org.cowslipyoke.http.ResponseBuffer;
 import org.cowslipyoke.relay.AttemptEnd;
 import org.cowslipyoke.relay.BackendServer;
 import org.cowslipyoke.relay.PromptPlan;
@@ -66,7 +67,7 @@
     this.work = plan == null ? PromptWork.NONE : plan.work();
     this.load = exchange.services().loads().of(server);
     this.events = new EventSplitter(exchange.run().lastEventId());
-    this.buffer = new ResponseBuffer(exchange.services().answers());
+    this.buffer = new ResponseBuffer(exchange.services().answers(), Relay.MAX_RESPONSE_BYTES);
     this.startMs = exchange.services().clock().nowMs();
   }
 
--- a/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/RelayContext.java
+++ b/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/RelayContext.java
@@ -1,6 +1,7 @@
 package org.cowslipyoke.daemon.relay;
 
 import java.util.concurrent.ScheduledExecutorService;
+import org.cowslipyoke.http.ResponseMemoryBudget;
 import org.cowslipyoke.relay.Admission;
 import org.cowslipyoke.relay.ColdStartLimiter;
 import org.cowslipyoke.relay.FleetStateHolder;
--- a/org.cowslipyoke.http/src/main/java/org/cowslipyoke/http/HttpConnector.java
+++ b/org.cowslipyoke.http/src/main/java/org/cowslipyoke/http/HttpConnector.java
@@ -55,6 +55,9 @@
   /** Maximum number of times that a request is sent again because its connection was closed. */
   public static final int MAX_RESENDS = 3;
 
+  /** Fraction of the heap that the buffered responses of a connector may take together. */
+  private static final double HEAP_FRACTION = 1.0 / 6;
+
   /** Time to wait after the deadline for Jetty to report the abort, in milliseconds. */
   private static final long ABORT_GRACE_MS = 500;
 
@@ -134,10 +137,20 @@
 
   private final HttpClient client;
   private final Limits limits;
+  private final ResponseMemoryBudget memory;
 
-  private HttpConnector(HttpClient client, Limits limits) {
+  private HttpConnector(HttpClient client, Limits limits, ResponseMemoryBudget memory) {
     this.client = client;
     this.limits = limits;
+    this.memory = memory;
+  }
+
+  /**
+   * Returns a connector on the same connections whose responses draw on a memory budget of their
+   * own, so that those of faulty peers can't crowd out others. Closing either closes both.
+   */
+  public HttpConnector withMemory(ResponseMemoryBudget other) {
+    return new HttpConnector(client, limits, other);
   }
 
   /**
@@ -150,7 +163,10 @@
     QueuedThreadPool threads = new QueuedThreadPool(16, 2);
     threads.setName("http-client");
     threads.setDaemon(true);
-    return new HttpConnector(startClient(name, limits, threads, 30_000), limits);
+    return new HttpConnector(
+        startClient(name, limits, threads, 30_000),
+        limits,
+        ResponseMemoryBudget.ofHeap(HEAP_FRACTION));
   }
 
   /**
@@ -160,7 +176,10 @@
    * @throws IllegalStateException if the client does not start
    */
   public static HttpConnector start(String name, Limits limits, Executor threads) {
-    return new HttpConnector(startClient(name, limits, threads, 30_000), limits);
+    return new HttpConnector(
+        startClient(name, limits, threads, 30_000),
+        limits,
+        ResponseMemoryBudget.ofHeap(HEAP_FRACTION));
   }
 
   /**
@@ -236,7 +255,7 @@
   private CompletableFuture<Either<CallFailure, BufferedResponse>> sendAsync(
       Call call, int resends, AtomicReference<@Nullable Request> current) {
     AtomicBoolean begun = new AtomicBoolean();
-    ResponseCollector collector = new ResponseCollector(limits.maxResponseBytes());
+    ResponseCollector collector = new ResponseCollector(limits.maxResponseBytes(), memory);
     Request r;
     try {
       r = newRequest(call, begun).timeout(call.timeoutMs(), TimeUnit.MILLISECONDS);
@@ -261,7 +280,7 @@
       return Either.left(
           new CallFailure(
               FailureKind.RESPONSE_TOO_LARGE,
-              "response exceeds " + limits.maxResponseBytes() + " bytes"));
+              "response exceeds " + limits.maxResponseBytes() + " bytes or the memory left"));
     }
     if (result.getResponseFailure() != null) {
       if (isNotSent(result.getFailure())) {
--- a/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/ResponseBuffer.java
+++ b/org.cowslipyoke.http/src/main/java/org/cowslipyoke/http/ResponseBuffer.java
@@ -1,4 +1,4 @@
-package org.cowslipyoke.daemon.relay;
+package org.cowslipyoke.http;
 
 import java.io.ByteArrayOutputStream;
 import java.nio.ByteBuffer;
@@ -6,24 +6,28 @@
 /**
  * Collects one response within the memory limits of {@link ResponseMemoryBudget}. Not thread-safe.
  */
-final class ResponseBuffer {
-
-  /** Maximum size of a buffered response in bytes. */
-  static final int MAX_BYTES = 4 << 20;
+public final class ResponseBuffer {
 
+  private final int maxBytes;
   private final ResponseMemoryBudget memory;
   private final ByteArrayOutputStream bytes = new ByteArrayOutputStream();
   private long taken;
 
-  ResponseBuffer(ResponseMemoryBudget memory) {
+  /**
+   * Creates an empty buffer.
+   *
+   * @param maxBytes maximum size of the response
+   */
+  public ResponseBuffer(ResponseMemoryBudget memory, int maxBytes) {
     this.memory = memory;
+    this.maxBytes = maxBytes;
   }
 
   /** Appends bytes; returns false if the response is too large or the memory is used up. */
-  boolean add(ByteBuffer more) {
+  public boolean add(ByteBuffer more) {
     int size = bytes.size() + more.remaining();
     long missing = size - ResponseMemoryBudget.RESERVED_BYTES - taken;
-    if (size > MAX_BYTES || (missing > 0 && !memory.tryAcquire((int) missing))) {
+    if (size > maxBytes || (missing > 0 && !memory.tryAcquire((int) missing))) {
       return false;
     }
     taken += Math.max(0, missing);
@@ -33,16 +37,18 @@
     return true;
   }
 
-  int size() {
+  /** Returns the number of bytes so far. */
+  public int size() {
     return bytes.size();
   }
 
-  byte[] toByteArray() {
+  /** Returns a copy of the bytes so far. */
+  public byte[] toByteArray() {
     return bytes.toByteArray();
   }
 
   /** Releases the memory after the response was passed on or discarded. */
-  void release() {
+  public void release() {
     memory.release(taken);
     taken = 0;
   }
--- a/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/ResponseMemoryBudget.java
+++ b/org.cowslipyoke.http/src/main/java/org/cowslipyoke/http/ResponseMemoryBudget.java
@@ -1,4 +1,4 @@
-package org.cowslipyoke.daemon.relay;
+package org.cowslipyoke.http;
 
 import java.util.concurrent.atomic.AtomicLong;
 
@@ -7,19 +7,31 @@
  * endless data must neither exhaust the heap nor block the responses of other servers: each
  * response has a small reserve of its own, and larger ones draw on a shared budget.
  */
-final class ResponseMemoryBudget {
+public final class ResponseMemoryBudget {
 
   /** Bytes reserved for each response; those of services that run no model have 800 bytes. */
-  static final int RESERVED_BYTES = 64 << 10;
-
-  /** Bytes of the shared budget; a sixth of an entry's heap. */
-  static final long SHARED_BYTES = 16L << 20;
+  public static final int RESERVED_BYTES = 64 << 10;
 
+  private final long sharedBytes;
   private final AtomicLong taken = new AtomicLong();
 
+  /**
+   * Creates a budget.
+   *
+   * @param sharedBytes bytes that all responses together may have beyond their reserves
+   */
+  public ResponseMemoryBudget(long sharedBytes) {
+    this.sharedBytes = sharedBytes;
+  }
+
+  /** Returns a budget that is a fraction of the heap. */
+  public static ResponseMemoryBudget ofHeap(double fraction) {
+    return new ResponseMemoryBudget(Math.round(Runtime.getRuntime().maxMemory() * fraction));
+  }
+
   /** Takes bytes from the shared budget; takes none and returns false if they exceed it. */
   boolean tryAcquire(int bytes) {
-    if (taken.addAndGet(bytes) > SHARED_BYTES) {
+    if (taken.addAndGet(bytes) > sharedBytes) {
       taken.addAndGet(-bytes);
       return false;
     }
--- a/org.cowslipyoke.http/src/main/java/org/cowslipyoke/http/internal/ResponseCollector.java
+++ b/org.cowslipyoke.http/src/main/java/org/cowslipyoke/http/internal/ResponseCollector.java
@@ -1,23 +1,33 @@
 package org.cowslipyoke.http.internal;
 
-import java.io.ByteArrayOutputStream;
 import java.nio.ByteBuffer;
 import java.util.concurrent.CompletableFuture;
+import org.cowslipyoke.http.ResponseBuffer;
+import org.cowslipyoke.http.ResponseMemoryBudget;
 import org.eclipse.jetty.client.Response;
 import org.eclipse.jetty.client.Result;
 import org.eclipse.jetty.http.HttpHeader;
 
-/** Buffers a response up to a maximum size; aborts the exchange if the response exceeds it. */
+/**
+ * Buffers a response up to a maximum size; aborts the exchange if the response exceeds it or the
+ * memory for responses is used up.
+ */
 public final class ResponseCollector implements Response.Listener {
 
   private final int maxBytes;
-  private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+  private final ResponseBuffer body;
   private final CompletableFuture<Result> done = new CompletableFuture<>();
   private volatile boolean tooLarge;
 
-  /** Creates a collector for a body of at most {@code maxBytes} bytes. */
-  public ResponseCollector(int maxBytes) {
+  /**
+   * Creates a collector for a body.
+   *
+   * @param maxBytes maximum size of the body
+   * @param memory budget of all bodies that are buffered at the same time
+   */
+  public ResponseCollector(int maxBytes, ResponseMemoryBudget memory) {
     this.maxBytes = maxBytes;
+    this.body = new ResponseBuffer(memory, maxBytes);
   }
 
   @Override
@@ -30,18 +40,18 @@
   @Override
   public void onContent(Response response, ByteBuffer content) {
     ServerConnections.countContent(response, content.remaining());
-    if (body.size() + content.remaining() > maxBytes) {
+    if (!body.add(content)) {
       abortTooLarge(response);
-      return;
     }
-    byte[] b = new byte[content.remaining()];
-    content.get(b);
-    body.writeBytes(b);
   }
 
   @Override
   public void onComplete(Result result) {
-    done.complete(result);
+    try {
+      done.complete(result);
+    } finally {
+      body.release();
+    }
   }
 
   /** Returns a future that completes when the exchange ends, whether it succeeds or fails. */
@@ -62,6 +72,8 @@
   private void abortTooLarge(Response response) {
     tooLarge = true;
     var unused =
-        response.abort(new IllegalStateException("response exceeds " + maxBytes + " bytes"));
+        response.abort(
+            new IllegalStateException(
+                "response exceeds " + maxBytes + " bytes or the memory for responses"));
   }
 }
--- a/org.cowslipyoke.test/src/test/java/org/cowslipyoke/daemon/relay/ResponseBufferTest.java
+++ b/org.cowslipyoke.test/src/test/java/org/cowslipyoke/http/ResponseBufferTest.java
@@ -1,4 +1,4 @@
-package org.cowslipyoke.daemon.relay;
+package org.cowslipyoke.http;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
@@ -11,7 +11,10 @@
 
 class ResponseBufferTest {
 
-  private final ResponseMemoryBudget memory = new ResponseMemoryBudget();
+  private static final int MAX_BYTES = 4 << 20;
+  private static final long SHARED_BYTES = 16L << 20;
+
+  private final ResponseMemoryBudget memory = new ResponseMemoryBudget(SHARED_BYTES);
 
   private static boolean fill(ResponseBuffer b, int bytes) {
     return b.add(ByteBuffer.allocate(bytes));
@@ -19,24 +22,24 @@
 
   @Test
   void responseAboveTheLimitIsRefused() {
-    ResponseBuffer b = new ResponseBuffer(memory);
-    assertTrue(fill(b, ResponseBuffer.MAX_BYTES));
+    ResponseBuffer b = new ResponseBuffer(memory, MAX_BYTES);
+    assertTrue(fill(b, MAX_BYTES));
     assertFalse(fill(b, 1));
-    assertEquals(ResponseBuffer.MAX_BYTES, b.size());
+    assertEquals(MAX_BYTES, b.size());
   }
 
   /** Guards against large responses that leave no memory for small ones of other callers. */
   @Test
   void smallResponsesHaveMemoryBesideLargeOnes() {
     List<ResponseBuffer> large = new ArrayList<>();
-    ResponseBuffer last = new ResponseBuffer(memory);
-    while (fill(last, ResponseBuffer.MAX_BYTES)) {
+    ResponseBuffer last = new ResponseBuffer(memory, MAX_BYTES);
+    while (fill(last, MAX_BYTES)) {
       large.add(last);
-      last = new ResponseBuffer(memory);
+      last = new ResponseBuffer(memory, MAX_BYTES);
     }
-    assertTrue((long) large.size() * ResponseBuffer.MAX_BYTES >= ResponseMemoryBudget.SHARED_BYTES);
-    assertTrue(fill(new ResponseBuffer(memory), ResponseMemoryBudget.RESERVED_BYTES));
+    assertTrue((long) large.size() * MAX_BYTES >= SHARED_BYTES);
+    assertTrue(fill(new ResponseBuffer(memory, MAX_BYTES), ResponseMemoryBudget.RESERVED_BYTES));
     large.get(0).release();
-    assertTrue(fill(last, ResponseBuffer.MAX_BYTES));
+    assertTrue(fill(last, MAX_BYTES));
   }
 }
