Split log lines and client set-up from two long files

AttemptLog has the log lines of an attempt, ClientFactory the settings of Jetty's client. No change of behaviour.

--- a/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/RelayAttempt.java
+++ b/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/RelayAttempt.java
@@ -5,8 +5,6 @@
 import java.nio.ByteBuffer;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
-import org.apache.logging.log4j.LogManager;
-import org.apache.logging.log4j.Logger;
 import org.cowslipyoke.daemon.relay.RelayDialect.ResponseHead;
 import org.cowslipyoke.http.HttpConnector;
 import org.cowslipyoke.http.ResponseBuffer;
@@ -29,8 +27,6 @@
  */
 final class RelayAttempt implements Response.Listener {
 
-  private static final Logger LOG = LogManager.getLogger(RelayAttempt.class);
-
   /** Time by which Jetty's time-out exceeds the deadline of the request, in milliseconds. */
   private static final long JETTY_GRACE_MS = 2_000;
 
@@ -128,10 +124,7 @@
 
   /** Closes the connection to a server that has stopped responding, which ends the attempt. */
   void leaveServer() {
-    Request r = jetty;
-    if (r != null) {
-      var unused = r.abort(new IllegalStateException("the server does not respond"));
-    }
+    abort("the server does not respond");
   }
 
   /**
@@ -139,9 +132,15 @@
    * server may still read the rest of the request.
    */
   void abort() {
+    if (!ended) {
+      abort("the request ended");
+    }
+  }
+
+  private void abort(String reason) {
     Request r = jetty;
-    if (r != null && !ended) {
-      var unused = r.abort(new IllegalStateException("the request ended"));
+    if (r != null) {
+      var unused = r.abort(new IllegalStateException(reason));
     }
   }
 
@@ -224,19 +223,7 @@
     load.recordPrefillEnd(work);
     exchange.services().metrics().answered(exchange.service(), ms);
     if (plan != null) {
-      LOG.info(
-          "first token: request={} server={} tookMs={} expectedMs={} unread={} engineUnread={}"
-              + " engineResident={} engineRunning={} held={} fetched={}",
-          exchange.request().id(),
-          server.id(),
-          ms,
-          Math.round(plan.estimateMs()),
-          work.prefillTokens(),
-          plan.load().prefillTokens(),
-          plan.load().residentTokens(),
-          plan.load().inFlight(),
-          plan.heldTokens(),
-          plan.fetchedTokens());
+      AttemptLog.firstToken(exchange, server, plan, ms);
     }
   }
 
@@ -292,7 +279,7 @@
     if (failure != null || h == null) {
       sent &= !HttpConnector.isNotSent(failure);
       recordLostServer(failure, request);
-      broken(summary(failure));
+      broken(AttemptLog.summary(failure));
       return;
     }
     if (h.misdirected()) {
@@ -353,7 +340,7 @@
   /** Passes the buffered response on to the caller. */
   void passOn() {
     ResponseHead h = head;
-    logPassedOn(h, buffer.size());
+    AttemptLog.passedOn(exchange, server, h, headers, buffer.size());
     if (h != null && h.status() / 100 == 2) {
       exchange.crashTracker().completed();
     }
@@ -368,23 +355,11 @@
 
   private void endStream(ResponseHead h) {
     exchange.crashTracker().completed();
-    logPassedOn(h, receivedBytes.get());
+    AttemptLog.passedOn(exchange, server, h, headers, receivedBytes.get());
     exchange.answered();
     exchange.caller().endStream();
   }
 
-  private void logPassedOn(@Nullable ResponseHead h, long bytes) {
-    LOG.info(
-        "answer passed on: request={} server={} status={} bytes={} framing={} tookMs={} tries={}",
-        exchange.request().id(),
-        server.id(),
-        h == null ? 0 : h.status(),
-        bytes,
-        ResponseFraming.of(headers),
-        exchange.elapsedMs(),
-        exchange.run().attempts());
-  }
-
   /** Ends an attempt whose stream is incomplete, although no failure was reported. */
   private void streamBroken(String reason) {
     if (ResponseFraming.of(headers) == ResponseFraming.CONNECTION) {
@@ -400,13 +375,4 @@
     }
     exchange.attemptEnded(this, end, reason);
   }
-
-  /** Returns a short form of a failure for the log; Jetty's messages describe whole connections. */
-  private static String summary(@Nullable Throwable e) {
-    if (e == null) {
-      return "no answer";
-    }
-    String text = String.valueOf(e.getMessage());
-    return e.getClass().getSimpleName() + ": " + text.substring(0, Math.min(60, text.length()));
-  }
 }
--- /dev/null
+++ b/org.cowslipyoke.http/src/main/java/org/cowslipyoke/http/ClientFactory.java
@@ -0,0 +1,46 @@
+package org.cowslipyoke.http;
+
+import java.util.concurrent.Executor;
+import org.cowslipyoke.http.internal.ServerConnections;
+import org.cowslipyoke.http.internal.ServerTransport;
+import org.eclipse.jetty.client.ContinueProtocolHandler;
+import org.eclipse.jetty.client.EarlyHintsProtocolHandler;
+import org.eclipse.jetty.client.HttpClient;
+import org.eclipse.jetty.client.ProcessingProtocolHandler;
+import org.eclipse.jetty.http.HttpCookieStore;
+import org.eclipse.jetty.http.HttpField;
+import org.eclipse.jetty.http.HttpHeader;
+
+/** Creates the HTTP clients of a process. */
+final class ClientFactory {
+
+  private ClientFactory() {}
+
+  /** Starts a client as described at {@link HttpConnector#startClient}. */
+  static HttpClient start(String name, HttpConnector.Limits limits, Executor threads, long idleMs) {
+    ServerConnections connections = new ServerConnections(limits.maxWireBytes());
+    HttpClient c = new HttpClient(new ServerTransport(connections));
+    c.getRequestListeners().addQueuedListener(connections);
+    c.setExecutor(threads);
+    c.setMaxConnectionsPerDestination(limits.maxConnections());
+    c.setMaxRequestsQueuedPerDestination(limits.maxQueued());
+    c.setMaxResponseHeadersSize(HttpConnector.MAX_HEAD_BYTES);
+    c.setConnectTimeout(limits.connectTimeoutMs());
+    c.setAddressResolutionTimeout(limits.connectTimeoutMs());
+    c.setIdleTimeout(idleMs);
+    c.setFollowRedirects(false);
+    c.setHttpCookieStore(new HttpCookieStore.Empty());
+    c.setUserAgentField(new HttpField(HttpHeader.USER_AGENT, name));
+    try {
+      c.start();
+    } catch (Exception e) {
+      throw new IllegalStateException("HTTP client failed to start", e);
+    }
+    c.getProtocolHandlers().clear();
+    c.getProtocolHandlers().put(new ContinueProtocolHandler());
+    c.getProtocolHandlers().put(new ProcessingProtocolHandler());
+    c.getProtocolHandlers().put(new EarlyHintsProtocolHandler());
+    c.getContentDecoderFactories().clear();
+    return c;
+  }
+}
--- a/org.cowslipyoke.http/src/main/java/org/cowslipyoke/http/HttpConnector.java
+++ b/org.cowslipyoke.http/src/main/java/org/cowslipyoke/http/HttpConnector.java
@@ -15,21 +15,14 @@
 import org.cowslipyoke.http.internal.NotSentException;
 import org.cowslipyoke.http.internal.ResponseCollector;
 import org.cowslipyoke.http.internal.ServerConnections;
-import org.cowslipyoke.http.internal.ServerTransport;
 import org.eclipse.jetty.client.AbstractConnectionPool;
 import org.eclipse.jetty.client.BytesRequestContent;
-import org.eclipse.jetty.client.ContinueProtocolHandler;
 import org.eclipse.jetty.client.Destination;
-import org.eclipse.jetty.client.EarlyHintsProtocolHandler;
 import org.eclipse.jetty.client.HttpClient;
 import org.eclipse.jetty.client.InputStreamResponseListener;
-import org.eclipse.jetty.client.ProcessingProtocolHandler;
 import org.eclipse.jetty.client.Request;
 import org.eclipse.jetty.client.Response;
 import org.eclipse.jetty.client.Result;
-import org.eclipse.jetty.http.HttpCookieStore;
-import org.eclipse.jetty.http.HttpField;
-import org.eclipse.jetty.http.HttpHeader;
 import org.eclipse.jetty.io.Content;
 import org.eclipse.jetty.util.thread.QueuedThreadPool;
 import org.jspecify.annotations.Nullable;
@@ -50,7 +43,7 @@
   static final String BYTES_MEDIA_TYPE = "application/octet-stream";
 
   /** Maximum number of bytes of the head of a response. */
-  private static final int MAX_HEAD_BYTES = 32 << 10;
+  static final int MAX_HEAD_BYTES = 32 << 10;
 
   /** Maximum number of times that a request is sent again because its connection was closed. */
   public static final int MAX_RESENDS = 3;
@@ -190,30 +183,7 @@
    * @throws IllegalStateException if the client does not start
    */
   public static HttpClient startClient(String name, Limits limits, Executor threads, long idleMs) {
-    ServerConnections connections = new ServerConnections(limits.maxWireBytes());
-    HttpClient c = new HttpClient(new ServerTransport(connections));
-    c.getRequestListeners().addQueuedListener(connections);
-    c.setExecutor(threads);
-    c.setMaxConnectionsPerDestination(limits.maxConnections());
-    c.setMaxRequestsQueuedPerDestination(limits.maxQueued());
-    c.setMaxResponseHeadersSize(MAX_HEAD_BYTES);
-    c.setConnectTimeout(limits.connectTimeoutMs());
-    c.setAddressResolutionTimeout(limits.connectTimeoutMs());
-    c.setIdleTimeout(idleMs);
-    c.setFollowRedirects(false);
-    c.setHttpCookieStore(new HttpCookieStore.Empty());
-    c.setUserAgentField(new HttpField(HttpHeader.USER_AGENT, name));
-    try {
-      c.start();
-    } catch (Exception e) {
-      throw new IllegalStateException("HTTP client failed to start", e);
-    }
-    c.getProtocolHandlers().clear();
-    c.getProtocolHandlers().put(new ContinueProtocolHandler());
-    c.getProtocolHandlers().put(new ProcessingProtocolHandler());
-    c.getProtocolHandlers().put(new EarlyHintsProtocolHandler());
-    c.getContentDecoderFactories().clear();
-    return c;
+    return ClientFactory.start(name, limits, threads, idleMs);
   }
 
   /** Sends a request and waits for the complete response, at most until the call's deadline. */
