Count unanswered requests by the completion of their handling

A handler that threw before it had wrapped the callback would have left the count raised, and each later stop would have waited for the whole grace period. Jetty's completion listener runs in any case. RelayDrainTest passes.

--- a/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/RelayHandler.java
+++ b/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/RelayHandler.java
@@ -72,15 +72,9 @@
     final long startMs = services.clock().nowMs();
     request.addIdleTimeoutListener(e -> false);
     unanswered.incrementAndGet();
-    Callback written =
-        new Callback.Nested(callback) {
-          @Override
-          public void completed() {
-            unanswered.decrementAndGet();
-          }
-        };
+    Request.addCompletionListener(request, e -> unanswered.decrementAndGet());
     CallerChannel caller =
-        new CallerChannel(request, response, written, services.dialect(), closing);
+        new CallerChannel(request, response, callback, services.dialect(), closing);
     Either<Failure, RelayRequest> decoded = services.dialect().decodeRequest(request);
     if (decoded.isLeft()) {
       return refuse(caller, decoded.getLeft(), null);
