Take a connection for idle by what was written on it

So it is a fault of: a request on a reused connection sometimes got no response.

Likely cause: the connection became idle by a notification of the complete request, which may come after the connection was given to the next request.

Change: the end point decides by the bytes written.

--- a/org.cowslipyoke.http/src/main/java/org/cowslipyoke/http/internal/ServerConnections.java
+++ b/org.cowslipyoke.http/src/main/java/org/cowslipyoke/http/internal/ServerConnections.java
@@ -34,21 +34,14 @@
 
   @Override
   public void onQueued(Request request) {
-    request.onRequestSuccess(ServerConnections::onRequestComplete);
     request.onResponseSuccess(ServerConnections::onResponseComplete);
   }
 
-  private static void onRequestComplete(Request request) {
-    ServerEndPoint e = endPoint(request);
-    if (e != null) {
-      e.onRequestComplete();
-    }
-  }
-
   private static void onResponseComplete(Response response) {
     ServerEndPoint e = endPoint(response);
     if (e != null) {
-      e.onResponseComplete();
+      Request.Content body = response.getRequest().getBody();
+      e.onResponseComplete(body == null ? 0 : (int) body.getLength());
     }
   }
 
--- a/org.cowslipyoke.http/src/main/java/org/cowslipyoke/http/internal/ServerEndPoint.java
+++ b/org.cowslipyoke.http/src/main/java/org/cowslipyoke/http/internal/ServerEndPoint.java
@@ -35,23 +35,13 @@
   private final AtomicLong responseBytes = new AtomicLong();
   private final AtomicLong contentBytes = new AtomicLong();
   private final Object lock = new Object();
-  private Phase phase = Phase.NEW;
+  private boolean used;
   private boolean responseComplete;
-  private boolean requestComplete;
+  private int bodyBytes;
   private long writtenBytes;
   private boolean allWritten;
   private volatile boolean ended;
 
-  /** State of the connection, guarded by the lock. */
-  private enum Phase {
-    /** No request was sent yet. */
-    NEW,
-    /** A request is being sent, or its response is not complete. */
-    IN_USE,
-    /** The last request and its response are complete. */
-    IDLE
-  }
-
   ServerEndPoint(
       SocketChannel channel,
       ManagedSelector selector,
@@ -64,34 +54,21 @@
 
   /**
    * Records that the response is complete: bytes before the next request are unsolicited. The
-   * connection remains in use until the request is complete too, since a server may respond before
+   * connection remains in use until the request is written too, since a server may respond before
    * it has read the whole request.
+   *
+   * @param bodyBytes length of the body of the request
    */
-  void onResponseComplete() {
+  void onResponseComplete(int bodyBytes) {
     synchronized (lock) {
       responseComplete = true;
-      endExchange();
-    }
-  }
-
-  /** Records that the request was sent completely. */
-  void onRequestComplete() {
-    synchronized (lock) {
-      requestComplete = true;
-      endExchange();
-    }
-  }
-
-  private void endExchange() {
-    if (phase == Phase.IN_USE && responseComplete && requestComplete) {
-      phase = Phase.IDLE;
+      this.bodyBytes = bodyBytes;
     }
   }
 
   private void beginExchange() {
-    phase = Phase.IN_USE;
+    used = true;
     responseComplete = false;
-    requestComplete = false;
     responseBytes.set(0);
     contentBytes.set(0);
     writtenBytes = 0;
@@ -143,7 +120,7 @@
    */
   private int read(ByteBuffer buffer) throws IOException {
     synchronized (lock) {
-      boolean responseExpected = phase == Phase.IN_USE && !responseComplete;
+      boolean responseExpected = used && !responseComplete;
       int start = buffer.position();
       int n;
       try {
@@ -174,10 +151,10 @@
   @Override
   public boolean flush(ByteBuffer... buffers) throws IOException {
     synchronized (lock) {
-      if (phase != Phase.IN_USE) {
-        if (phase == Phase.IDLE) {
-          checkIdleConnection();
-        }
+      if (!used) {
+        beginExchange();
+      } else if (responseComplete && isRequestWritten(bodyBytes)) {
+        checkIdleConnection();
         beginExchange();
       }
       long before = BufferUtil.remaining(buffers);
--- a/org.cowslipyoke.test/src/test/java/org/cowslipyoke/http/internal/ServerEndPointTest.java
+++ b/org.cowslipyoke.test/src/test/java/org/cowslipyoke/http/internal/ServerEndPointTest.java
@@ -20,6 +20,7 @@
 class ServerEndPointTest {
 
   private static final int MAX_RESPONSE_BYTES = 1 << 20;
+  private static final int BODY_BYTES = 1_000;
 
   private final FakeChannel channel = new FakeChannel();
 
@@ -30,15 +31,14 @@
 
   private void completeExchange() throws IOException {
     assertTrue(endPoint.flush(BufferUtil.toBuffer("request")));
-    endPoint.onRequestComplete();
-    endPoint.onResponseComplete();
+    endPoint.onResponseComplete(0);
   }
 
   /** Guards against taking a broken connection for one on which nothing was sent. */
   @Test
   void requestIsNotReportedAsUnsentAfterEarlyResponse() throws IOException {
     assertTrue(endPoint.flush(BufferUtil.toBuffer("head and begin of body")));
-    endPoint.onResponseComplete();
+    endPoint.onResponseComplete(BODY_BYTES);
     channel.breakOff();
     IOException e =
         assertThrows(IOException.class, () -> endPoint.flush(BufferUtil.toBuffer("rest")));
