--- a/org.cowslipyoke.http/src/main/java/org/cowslipyoke/http/internal/ServerConnections.java
+++ b/org.cowslipyoke.http/src/main/java/org/cowslipyoke/http/internal/ServerConnections.java
@@ -11,7 +11,7 @@
 import org.eclipse.jetty.io.ManagedSelector;
 import org.jspecify.annotations.Nullable;
 
-/** Opens connections as {@link ServerEndPoint}s and notifies them of complete messages. */
+/** Opens connections as {@link ServerEndPoint}s and notifies them of complete responses. */
 public final class ServerConnections extends ClientConnector implements Request.QueuedListener {
 
   private final long maxResponseBytes;
