Add extension points for placement, attempts and peer reports

Cause: rollouts, back-off, engine profiles, the cost of other failure domains and further reports between entries would each have to edit the relay's exchange, its attempts and the datagram exchange.

Change: CandidateFilter narrows the servers of an attempt, AttemptObserver is told of each attempt, EngineProfile holds the constants of EngineLatencyModel, CrossingCost the two fixed costs of another failure domain, PeerReportChannel further datagrams. All have the behaviour of before as their only implementation.

--- a/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/PeerReportExchange.java
+++ b/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/PeerReportExchange.java
@@ -74,6 +74,7 @@
   private volatile Set<InetAddress> known = Set.of();
   private volatile Consumer<TableConfirmation> onConfirmation = c -> {};
   private volatile Consumer<CacheEventBatch> onCacheEvents = b -> {};
+  private volatile List<PeerReportChannel> channels = List.of();
   private final Clock clock;
   private final Object sending = new Object();
   private final Object scheduling = new Object();
@@ -139,6 +140,11 @@
     onCacheEvents = listener;
   }
 
+  /** Sets further kinds of reports; must be called before {@link #start}. */
+  public void setChannels(List<PeerReportChannel> all) {
+    channels = List.copyOf(all);
+  }
+
   /** Passes cache events on; those that exceed a datagram are left to the entries to read. */
   public void shareCacheEvents(CacheEventBatch b, List<InetSocketAddress> to) {
     byte[] bytes = CacheEventCodec.encode(b);
@@ -169,6 +175,9 @@
     loads.setChangeListener(this::schedulePartial);
     repeat(timerThreads, COMPLETE_INTERVAL_MS, this::send);
     repeat(timerThreads, SUSPECT_INTERVAL_MS, this::sendSuspects);
+    for (PeerReportChannel c : channels) {
+      repeat(timerThreads, SUSPECT_INTERVAL_MS, () -> c.takeDue().forEach(this::sendToPeers));
+    }
   }
 
   private static void repeat(ScheduledExecutorService timers, long intervalMs, Runnable task) {
@@ -300,6 +309,12 @@
   }
 
   private void take(byte[] bytes, int length) throws MalformedResponseException {
+    for (PeerReportChannel c : channels) {
+      if (c.isReport(bytes, length)) {
+        c.accept(bytes, length);
+        return;
+      }
+    }
     if (SuspectReportCodec.isReport(bytes, length)) {
       suspects.accept(SuspectReportCodec.decode(bytes, length));
     } else if (PartReportCodec.isReport(bytes, length)) {
--- a/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/Relay.java
+++ b/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/Relay.java
@@ -128,7 +128,8 @@
       RelayDialect dialect,
       MeterRegistry meters,
       QueuedThreadPool threads,
-      RandomGenerator random) {
+      RandomGenerator random,
+      RelayExtensions extensions) {
     this.clock = clock;
     this.suspects = new CrashSuspects(clock);
     suspects.parts().setListener(holds -> PartHolds.logChange(holds, clock));
@@ -154,15 +155,18 @@
                 peers,
                 caches,
                 new CacheTransferPlanner(caches),
+                extensions.profiles(),
+                extensions.crossing(),
                 o.oldWeightsMaxMs()),
-            new ServicePlacement(loads, o.failureDomain(), random),
+            new ServicePlacement(loads, o.failureDomain(), extensions.crossing(), random),
             loads,
             new ColdStartLimiter(clock),
             new ServiceRetryBudget(clock, o.budgetWindowMs(), o.budgetRatio(), o.budgetBase()),
             new ResponseMemoryBudget(MAX_BUFFERED_BYTES),
             suspects,
             new SilentServers(caches),
-            new RelayMetrics(meters));
+            new RelayMetrics(meters),
+            extensions);
     this.handler = new RelayHandler(services);
     var unused =
         timers.scheduleWithFixedDelay(
--- a/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/RelayAttempt.java
+++ b/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/RelayAttempt.java
@@ -9,10 +9,13 @@
 import org.cowslipyoke.http.HttpConnector;
 import org.cowslipyoke.http.ResponseBuffer;
 import org.cowslipyoke.relay.AttemptEnd;
+import org.cowslipyoke.relay.AttemptObserver.Attempt;
+import org.cowslipyoke.relay.AttemptObserver.Ended;
 import org.cowslipyoke.relay.BackendServer;
 import org.cowslipyoke.relay.PromptPlan;
 import org.cowslipyoke.relay.PromptWork;
 import org.cowslipyoke.relay.ServerLoad;
+import org.cowslipyoke.relay.ServerNotice;
 import org.cowslipyoke.util.MalformedResponseException;
 import org.eclipse.jetty.client.BytesRequestContent;
 import org.eclipse.jetty.client.Request;
@@ -55,6 +58,8 @@
   private long firstContentMs;
   private int resends;
   private volatile boolean ended;
+  private final AttemptObservers observers;
+  private final Attempt attempt;
 
   RelayAttempt(RelayExchange exchange, BackendServer server, @Nullable PromptPlan plan) {
     this.exchange = exchange;
@@ -65,6 +70,16 @@
     this.events = new EventSplitter(exchange.run().lastEventId());
     this.buffer = new ResponseBuffer(exchange.services().answers(), Relay.MAX_RESPONSE_BYTES);
     this.startMs = exchange.services().clock().nowMs();
+    this.observers = new AttemptObservers(exchange.services().extensions().observers());
+    this.attempt =
+        new Attempt(
+            exchange.request().id(),
+            exchange.route(),
+            exchange.service(),
+            server,
+            plan,
+            exchange.run().attempts(),
+            startMs);
   }
 
   BackendServer server() {
@@ -86,6 +101,7 @@
   /** Sends the request. */
   void send() {
     load.recordStart(work);
+    observers.started(attempt);
     post();
   }
 
@@ -149,6 +165,8 @@
     headers = response.getHeaders().asImmutable();
     ResponseHead h = exchange.services().dialect().decodeResponse(response.getStatus(), headers);
     head = h;
+    observers.headReceived(
+        attempt, new ServerNotice(h.status(), h.notRun(), h.leaving(), h.retryAfterMs()));
     if (plan != null && h.weights() > 0) {
       load.recordWeights(h.weights());
     }
@@ -165,6 +183,7 @@
   public void onContent(Response response, ByteBuffer bytes) {
     HttpConnector.countContent(response, bytes.remaining());
     lastBytesMs = exchange.services().clock().nowMs();
+    observers.contentReceived(attempt, lastBytesMs, !promptRead);
     if (!promptRead) {
       promptRead = true;
       firstContentMs = lastBytesMs;
@@ -276,6 +295,7 @@
           .recordResidence(work.unsharedTokens(), exchange.services().clock().nowMs() - startMs);
     }
     ResponseHead h = head;
+    observers.ended(attempt, outcome(failure, h));
     if (failure != null || h == null) {
       sent &= !HttpConnector.isNotSent(failure);
       recordLostServer(failure, request);
@@ -293,6 +313,21 @@
     }
   }
 
+  private Ended outcome(@Nullable Throwable failure, @Nullable ResponseHead h) {
+    AttemptEnd end = null;
+    if (failure != null || h == null) {
+      end = sent && !HttpConnector.isNotSent(failure) ? AttemptEnd.BROKEN : AttemptEnd.NOT_SENT;
+    } else if (h.misdirected()) {
+      end = AttemptEnd.MISDIRECTED;
+    } else if (h.notRun()) {
+      end = AttemptEnd.REFUSED;
+    } else if (h.status() >= 500 || !h.sealed()) {
+      end = AttemptEnd.FAILED;
+    }
+    long tookMs = exchange.services().clock().nowMs() - startMs;
+    return new Ended(end, h == null ? 0 : h.status(), exchange.isOver(), tookMs);
+  }
+
   /**
    * Records a possible crash of the server: only the loss of the connection after the complete
    * request was written counts, not a time-out, a malformed response or a pooled connection that
--- a/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/RelayContext.java
+++ b/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/RelayContext.java
@@ -30,4 +30,5 @@
     ResponseMemoryBudget answers,
     CrashSuspects suspects,
     SilentServers silentServers,
-    RelayMetrics metrics) {}
+    RelayMetrics metrics,
+    RelayExtensions extensions) {}
--- a/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/RelayDialect.java
+++ b/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/RelayDialect.java
@@ -37,6 +37,9 @@
    * @param misdirected whether another incarnation or other weights answered
    * @param sealed whether it carries the server's seal
    * @param weights weights version of the server, 0 if not stated
+   * @param leaving whether the server states that it is shutting down
+   * @param retryAfterMs time for which the server wants no requests, in milliseconds; 0 if not
+   *     stated or not valid
    */
   record ResponseHead(
       int status,
@@ -44,7 +47,9 @@
       boolean notRun,
       boolean misdirected,
       boolean sealed,
-      int weights) {}
+      int weights,
+      boolean leaving,
+      long retryAfterMs) {}
 
   /** Decodes the head of a caller's request. */
   Either<Failure, RelayRequest> decodeRequest(Request request);
--- a/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/RelayExchange.java
+++ b/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/RelayExchange.java
@@ -15,6 +15,9 @@
 import org.cowslipyoke.relay.Admission.AdmittedRequest;
 import org.cowslipyoke.relay.AttemptEnd;
 import org.cowslipyoke.relay.BackendServer;
+import org.cowslipyoke.relay.CandidateFilter;
+import org.cowslipyoke.relay.CandidateFilter.Placed;
+import org.cowslipyoke.relay.CandidateFilter.Remaining;
 import org.cowslipyoke.relay.FleetState;
 import org.cowslipyoke.relay.LoadShedder;
 import org.cowslipyoke.relay.OrganisationPolicy;
@@ -23,6 +26,7 @@
 import org.cowslipyoke.relay.RequestAttempts;
 import org.cowslipyoke.relay.RequestAttempts.NextStep;
 import org.cowslipyoke.relay.RequestKind;
+import org.cowslipyoke.relay.Route;
 import org.cowslipyoke.relay.ServerGroup;
 import org.cowslipyoke.relay.WeightTarget;
 import org.jspecify.annotations.Nullable;
@@ -112,6 +116,10 @@
     return service;
   }
 
+  Route route() {
+    return admitted.route();
+  }
+
   boolean isStream() {
     return admitted.route().kind() == RequestKind.STREAM;
   }
@@ -188,7 +196,11 @@
     if (group == null) {
       return new PlacementResult(null, null, none);
     }
-    List<BackendServer> candidates = candidates(state, group);
+    Remaining remaining = filtered(state, candidates(state, group));
+    List<BackendServer> candidates = remaining.servers();
+    if (candidates.isEmpty() && remaining.retryAfterMs() > 0) {
+      none = new Failure(ErrorKind.NO_SERVER, "no server is available", remaining.retryAfterMs());
+    }
     if (request.prompt() == null || group.engine() == null) {
       Optional<BackendServer> s = services.services().choose(candidates);
       return new PlacementResult(
@@ -220,6 +232,24 @@
     return warm.isEmpty() ? fresh : warm;
   }
 
+  private Remaining filtered(FleetState state, List<BackendServer> candidates) {
+    Placed placed =
+        new Placed(
+            request.id(),
+            admitted.route(),
+            service,
+            admitted.priority(),
+            organisation(),
+            run.attempts());
+    Remaining remaining = new Remaining(candidates, 0);
+    for (CandidateFilter f : services.extensions().filters()) {
+      if (!remaining.servers().isEmpty()) {
+        remaining = f.filter(placed, state, remaining.servers());
+      }
+    }
+    return remaining;
+  }
+
   private boolean tryAcquireCold(FleetState state, ServerGroup group, BackendServer server) {
     return group.coldRequestsPerSecond() <= 0
         || server.coldMs() <= 0
--- a/org.cowslipyoke.test/src/test/java/org/cowslipyoke/relay/EngineLatencyModelTest.java
+++ b/org.cowslipyoke.test/src/test/java/org/cowslipyoke/relay/EngineLatencyModelTest.java
@@ -14,10 +14,10 @@
 
   @Test
   void prefillSlowsWithTheBatchSize() {
-    double idle = EngineLatencyModel.prefillMs(9_190, 0);
-    double busy = EngineLatencyModel.prefillMs(9_190, 60);
+    double idle = EngineProfile.INITIAL.prefillMs(9_190, 0);
+    double busy = EngineProfile.INITIAL.prefillMs(9_190, 60);
     assertTrue(idle > 9_190 / 74.8, "steps take time in addition to prefill");
-    assertEquals(9_190 * 60 * EngineLatencyModel.STEP_MS_PER_REQUEST / 1_024, busy - idle, 0.001);
+    assertEquals(9_190 * 60 * EngineProfile.INITIAL.stepMsPerRequest() / 1_024, busy - idle, 0.001);
   }
 
   @Test
--- a/org.cowslipyoke.test/src/test/java/org/cowslipyoke/relay/LimitsTest.java
+++ b/org.cowslipyoke.test/src/test/java/org/cowslipyoke/relay/LimitsTest.java
@@ -79,7 +79,8 @@
   @Test
   void requestsGoToTheServerWithLeastLoadAndFailures() {
     ServerLoads loads = new ServerLoads(clock);
-    ServicePlacement placement = new ServicePlacement(loads, "d1", new Random(1));
+    ServicePlacement placement =
+        new ServicePlacement(loads, "d1", CrossingCost.FIXED, new Random(1));
     BackendServer other = RelayFixture.server("s2", 1);
     loads.of(server).recordStart(PromptWork.NONE);
     assertEquals("s2", placement.choose(List.of(server, other)).orElseThrow().id());
--- a/org.cowslipyoke.test/src/test/java/org/cowslipyoke/relay/OverloadTest.java
+++ b/org.cowslipyoke.test/src/test/java/org/cowslipyoke/relay/OverloadTest.java
@@ -175,10 +175,10 @@
       long beginMs = Math.max(clock.nowMs(), engine.freeMs);
       waitedMs += beginMs - clock.nowMs();
       engine.freeMs =
-          beginMs + Math.round(EngineLatencyModel.prefillMs(PROMPT_TOKENS, engine.running));
+          beginMs + Math.round(EngineProfile.INITIAL.prefillMs(PROMPT_TOKENS, engine.running));
       engine.running++;
       long firstMs =
-          engine.freeMs - clock.nowMs() + Math.round(EngineLatencyModel.FIRST_TOKEN_OVERHEAD_MS);
+          engine.freeMs - clock.nowMs() + Math.round(EngineProfile.INITIAL.firstTokenOverheadMs());
       inTime += firstMs <= TARGET_MS ? 1 : 0;
       late += firstMs <= TARGET_MS ? 0 : 1;
       at(firstMs, () -> load.recordPrefillEnd(work));
--- a/org.cowslipyoke.test/src/test/java/org/cowslipyoke/relay/PromptPlacementTest.java
+++ b/org.cowslipyoke.test/src/test/java/org/cowslipyoke/relay/PromptPlacementTest.java
@@ -246,7 +246,7 @@
     }
     PromptPlan p = plan(RelayFixture.prompt("org", "doc")).orElseThrow();
     assertEquals(
-        EngineLatencyModel.FIRST_TOKEN_OVERHEAD_MS + EngineLatencyModel.prefillMs(9_000, 0),
+        EngineProfile.INITIAL.firstTokenOverheadMs() + EngineProfile.INITIAL.prefillMs(9_000, 0),
         p.estimateMs(),
         0.001);
   }
--- a/org.cowslipyoke.test/src/test/java/org/cowslipyoke/relay/RelayFixture.java
+++ b/org.cowslipyoke.test/src/test/java/org/cowslipyoke/relay/RelayFixture.java
@@ -132,7 +132,15 @@
 
   PromptPlacement placement() {
     return new PromptPlacement(
-        clock, "d1", loads, peers, directory, new CacheTransferPlanner(directory), 11_000);
+        clock,
+        "d1",
+        loads,
+        peers,
+        directory,
+        new CacheTransferPlanner(directory),
+        EngineProfiles.FIXED,
+        CrossingCost.FIXED,
+        11_000);
   }
 
   static PromptWork work(long unread, long own) {
--- a/org.cowslipyoke/src/main/java/org/cowslipyoke/relay/PromptPlacement.java
+++ b/org.cowslipyoke/src/main/java/org/cowslipyoke/relay/PromptPlacement.java
@@ -63,6 +63,8 @@
   private final CacheDirectory directory;
   private final SilentServers silentServers;
   private final CacheTransferPlanner transfers;
+  private final EngineProfiles profiles;
+  private final CrossingCost crossing;
   private final long oldWeightsMaxMs;
 
   /**
@@ -79,6 +81,8 @@
       PeerLoads peers,
       CacheDirectory directory,
       CacheTransferPlanner kept,
+      EngineProfiles profiles,
+      CrossingCost crossing,
       long oldWeightsMaxMs) {
     this.clock = clock;
     this.ownDomain = ownDomain;
@@ -87,6 +91,8 @@
     this.directory = directory;
     this.silentServers = new SilentServers(directory);
     this.transfers = kept;
+    this.profiles = profiles;
+    this.crossing = crossing;
     this.oldWeightsMaxMs = oldWeightsMaxMs;
   }
 
@@ -197,9 +203,9 @@
   private double expectedMs(
       PlacementContext context, BackendServer server, Load load, PromptWork work) {
     ServerLoad own = loads.of(server);
-    double expected = EngineLatencyModel.FIRST_TOKEN_OVERHEAD_MS;
-    expected +=
-        EngineLatencyModel.prefillMs(load.prefillTokens() + work.prefillTokens(), load.inFlight());
+    EngineProfile profile = profiles.of(server);
+    double expected = profile.firstTokenOverheadMs();
+    expected += profile.prefillMs(load.prefillTokens() + work.prefillTokens(), load.inFlight());
     expected += memoryWaitMs(context, load, own.addedTokens(work));
     expected += own.isLoading() ? LOADING_MS : 0;
     expected += isUnresponsive(context, server) ? UNRESPONSIVE_MS : 0;
@@ -209,7 +215,9 @@
   /** Returns the penalties of a server in milliseconds that need not delay the request. */
   private double penaltyMs(PlacementContext context, BackendServer server, boolean oldWeights) {
     ServerLoad own = loads.of(server);
-    double penalty = server.failureDomain().equals(ownDomain) ? 0 : REMOTE_MS;
+    String domain = server.failureDomain();
+    double penalty =
+        domain.equals(ownDomain) ? 0 : crossing.promptMs(context.group().name(), domain);
     penalty += FAILURE_MS * own.recentFailures();
     penalty += oldWeights ? OLD_WEIGHTS_MS : 0;
     penalty += own.isFull() ? FULL_MS : 0;
--- a/org.cowslipyoke/src/main/java/org/cowslipyoke/relay/ServicePlacement.java
+++ b/org.cowslipyoke/src/main/java/org/cowslipyoke/relay/ServicePlacement.java
@@ -20,12 +20,15 @@
 
   private final ServerLoads loads;
   private final String ownDomain;
+  private final CrossingCost crossing;
   private final RandomGenerator random;
 
   /** Creates the placement for an entry in the given failure domain. */
-  public ServicePlacement(ServerLoads loads, String ownDomain, RandomGenerator random) {
+  public ServicePlacement(
+      ServerLoads loads, String ownDomain, CrossingCost crossing, RandomGenerator random) {
     this.loads = loads;
     this.ownDomain = ownDomain;
+    this.crossing = crossing;
     this.random = random;
   }
 
@@ -41,7 +44,8 @@
 
   private double cost(BackendServer s) {
     ServerLoad l = loads.of(s);
-    double remote = s.failureDomain().equals(ownDomain) ? 0 : REMOTE_WEIGHT;
+    String domain = s.failureDomain();
+    double remote = domain.equals(ownDomain) ? 0 : crossing.requests(s.group(), domain);
     double full = l.isFull() ? FAILURE_WEIGHT : 0;
     double jitter = random.nextDouble() * 0.2;
     double slowness = 1 + l.responseMs() / 100;
