--- a/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/RelayExchange.java
+++ b/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/RelayExchange.java
@@ -176,7 +176,8 @@
       next = attempt;
     }
     if (next == null) {
-      Failure f = run.attempts() > 0 ? run.finalFailure() : p.refusal();
+      long retryAfterMs = p.refusal().retryAfterMs();
+      Failure f = run.attempts() > 0 ? run.finalFailure(retryAfterMs) : p.refusal();
       fail(f);
     } else {
       next.send();
--- a/org.cowslipyoke/src/main/java/org/cowslipyoke/relay/RequestAttempts.java
+++ b/org.cowslipyoke/src/main/java/org/cowslipyoke/relay/RequestAttempts.java
@@ -133,10 +133,20 @@
 
   /** Returns the final failure of a request without a complete response from a server. */
   public Failure finalFailure() {
+    return finalFailure(RETRY_AFTER_MS);
+  }
+
+  /**
+   * Returns the final failure of a request without a complete response from a server.
+   *
+   * @param retryAfterMs time until a server is available again, in milliseconds
+   */
+  public Failure finalFailure(long retryAfterMs) {
     if (mayHaveRun) {
       return Failure.of(ErrorKind.INCOMPLETE, "the server's answer broke off");
     }
-    return new Failure(ErrorKind.OVERLOADED, "no server took the request", RETRY_AFTER_MS);
+    long delayMs = Math.max(RETRY_AFTER_MS, retryAfterMs);
+    return new Failure(ErrorKind.OVERLOADED, "no server took the request", delayMs);
   }
 
   /**
