Decide the end of a relayed request in one place

A request whose body ended at its deadline was answered "not run" by the timer and sent all the same; an error text could follow a stream that had just begun; and an abort that threw in the HTTP client left the caller without an answer.

Change: RequestLifecycle holds the phase and changes it by atomic updates. Sending claims it when the client begins to write, passing on a response claims it, and ending it tells in which phase, so "not run" is said only where sending is no longer possible. An abort that throws is logged.

--- a/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/RelayAttempt.java
+++ b/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/RelayAttempt.java
@@ -5,6 +5,8 @@
 import java.nio.ByteBuffer;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
 import org.cowslipyoke.daemon.relay.RelayDialect.ResponseHead;
 import org.cowslipyoke.http.HttpConnector;
 import org.cowslipyoke.http.ResponseBuffer;
@@ -39,6 +41,8 @@
    */
   private static final long BEGUN_MS = 100;
 
+  private static final Logger LOG = LogManager.getLogger(RelayAttempt.class);
+
   private final RelayExchange exchange;
   private final BackendServer server;
   private final @Nullable PromptPlan plan;
@@ -86,11 +90,6 @@
     return server;
   }
 
-  /** Returns whether any byte of the request may have been sent. */
-  boolean isSent() {
-    return sent;
-  }
-
   /** Returns the progress of the response for the log. */
   String progress() {
     long agoMs = exchange.services().clock().nowMs() - lastBytesMs;
@@ -122,7 +121,7 @@
             .headers(h -> h.clear().add(out))
             .timeout(leftMs + JETTY_GRACE_MS, TimeUnit.MILLISECONDS)
             .idleTimeout(leftMs + JETTY_GRACE_MS, TimeUnit.MILLISECONDS)
-            .onRequestBegin(x -> sent = true);
+            .onRequestBegin(this::claimSend);
     if (exchange.body().length > 0) {
       r.body(new BytesRequestContent(out.get("Content-Type"), exchange.body()));
     }
@@ -133,6 +132,15 @@
     }
   }
 
+  /** Stops a request that has ended while it waited for a connection, before it is written. */
+  private void claimSend(Request r) {
+    if (exchange.claimSend()) {
+      sent = true;
+    } else {
+      var unused = r.abort(new IllegalStateException("the request ended before it was sent"));
+    }
+  }
+
   /** Returns the time since the request was sent or the last byte was received, in milliseconds. */
   long idleMs() {
     return exchange.services().clock().nowMs() - Math.max(startMs, lastBytesMs);
@@ -155,8 +163,14 @@
 
   private void abort(String reason) {
     Request r = jetty;
-    if (r != null) {
+    if (r == null) {
+      return;
+    }
+    try {
       var unused = r.abort(new IllegalStateException(reason));
+    } catch (RuntimeException e) {
+      // Jetty may throw for a request that is just being sent; the caller must still be answered.
+      LOG.warn("abort failed: request={} reason={}", exchange.request().id(), e.toString());
     }
   }
 
@@ -218,7 +232,7 @@
   }
 
   private void relay(byte[] complete) {
-    if (exchange.isOver()) {
+    if (!exchange.claimResponse()) {
       return;
     }
     CallerChannel caller = exchange.caller();
@@ -379,7 +393,9 @@
     if (h != null && h.status() / 100 == 2) {
       exchange.crashTracker().completed();
     }
-    exchange.answered();
+    if (!exchange.answered()) {
+      return;
+    }
     exchange
         .caller()
         .sendComplete(
@@ -391,8 +407,9 @@
   private void endStream(ResponseHead h) {
     exchange.crashTracker().completed();
     AttemptLog.passedOn(exchange, server, h, headers, receivedBytes.get());
-    exchange.answered();
-    exchange.caller().endStream();
+    if (exchange.answered()) {
+      exchange.caller().endStream();
+    }
   }
 
   /** Ends an attempt whose stream is incomplete, although no failure was reported. */
--- a/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/RelayExchange.java
+++ b/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/RelayExchange.java
@@ -26,6 +26,8 @@
 import org.cowslipyoke.relay.RequestAttempts;
 import org.cowslipyoke.relay.RequestAttempts.NextStep;
 import org.cowslipyoke.relay.RequestKind;
+import org.cowslipyoke.relay.RequestLifecycle;
+import org.cowslipyoke.relay.RequestLifecycle.Phase;
 import org.cowslipyoke.relay.Route;
 import org.cowslipyoke.relay.ServerGroup;
 import org.cowslipyoke.relay.WeightTarget;
@@ -52,7 +54,7 @@
   private final Consumer<RelayExchange> onDone;
   private @Nullable RelayAttempt attempt;
   private @Nullable Future<?> timer;
-  private boolean over;
+  private final RequestLifecycle life = new RequestLifecycle();
 
   RelayExchange(
       RelayContext services,
@@ -92,8 +94,18 @@
     startNextAttempt();
   }
 
-  synchronized boolean isOver() {
-    return over;
+  boolean isOver() {
+    return life.isEnded();
+  }
+
+  /** Claims the request for sending; returns false if it must no longer be sent. */
+  boolean claimSend() {
+    return life.claimSend();
+  }
+
+  /** Claims the caller's response; returns false if nothing may be passed on. */
+  boolean claimResponse() {
+    return life.claimResponse();
   }
 
   RelayContext services() {
@@ -164,7 +176,7 @@
     PlacementResult p = place(services.state().get());
     RelayAttempt next;
     synchronized (this) {
-      if (over) {
+      if (life.isEnded()) {
         return;
       }
       if (p.server() == null) {
@@ -261,10 +273,11 @@
   void attemptEnded(RelayAttempt a, AttemptEnd end, String reason) {
     NextStep next;
     synchronized (this) {
-      if (over || attempt != a) {
+      if (life.isEnded() || attempt != a) {
         return;
       }
       attempt = null;
+      life.recordAttemptOver();
       boolean others =
           services.state().get().available(service).stream().anyMatch(s -> !run.hasTried(s));
       next = run.onAttemptEnd(end, others, leftMs() >= MIN_ATTEMPT_MS);
@@ -296,7 +309,7 @@
   void checkServer() {
     RelayAttempt a;
     synchronized (this) {
-      if (over || attempt == null || !run.mayRetryCurrentAttempt()) {
+      if (life.isEnded() || attempt == null || !run.mayRetryCurrentAttempt()) {
         return;
       }
       a = attempt;
@@ -308,30 +321,29 @@
     }
   }
 
-  /** Records that a complete response was passed on. */
-  void answered() {
-    finish();
+  /** Ends the exchange for a complete response; returns false if it had ended before. */
+  boolean answered() {
+    return end() != null;
   }
 
   private void onTimeout() {
-    boolean begun;
-    boolean inFlight;
-    synchronized (this) {
-      if (over) {
-        return;
-      }
-      begun = run.isResponseStarted();
-      inFlight = attempt != null && attempt.isSent();
+    End e = end();
+    if (e == null) {
+      return;
     }
-    if (begun) {
-      cut("the time of the request is up");
+    if (e.phase() == Phase.RESPONDING) {
+      cutCaller(e, "the time of the request is up");
     } else {
-      fail(run.timeoutFailure(inFlight));
+      sendFailure(e, run.timeoutFailure(e.phase() == Phase.SENT));
     }
   }
 
   private void onCallerDisconnect() {
-    RelayAttempt a = finish();
+    End e = end();
+    if (e == null) {
+      return;
+    }
+    RelayAttempt a = e.attempt();
     LOG.info(
         "caller left: request={} server={} received={} elapsedMs={}",
         request.id(),
@@ -341,8 +353,28 @@
     caller.cut(new IllegalStateException("the caller left"));
   }
 
+  /** Breaks off the response. */
   void cut(String reason) {
-    RelayAttempt a = finish();
+    End e = end();
+    if (e != null) {
+      cutCaller(e, reason);
+    }
+  }
+
+  private void fail(Failure f) {
+    End e = end();
+    if (e == null) {
+      return;
+    }
+    if (e.phase() == Phase.RESPONDING) {
+      cutCaller(e, "the answer can't go on: " + f.message());
+    } else {
+      sendFailure(e, f);
+    }
+  }
+
+  private void cutCaller(End e, String reason) {
+    RelayAttempt a = e.attempt();
     LOG.info(
         "answer cut: request={} server={} reason={} received={} elapsedMs={}",
         request.id(),
@@ -353,13 +385,9 @@
     caller.cut(new IllegalStateException(reason));
   }
 
-  private void fail(Failure f) {
-    if (run.isResponseStarted()) {
-      cut("the answer can't go on: " + f.message());
-      return;
-    }
+  private void sendFailure(End e, Failure f) {
     services.metrics().own(f.kind());
-    RelayAttempt a = finish();
+    RelayAttempt a = e.attempt();
     LOG.info(
         "own answer: request={} route={} service={} server={} kind={} reason={} tries={}"
             + " elapsedMs={}",
@@ -374,19 +402,28 @@
     caller.sendFailure(f, request.id());
   }
 
-  /** Ends the exchange; returns the attempt that was in flight and is now aborted. */
-  private @Nullable RelayAttempt finish() {
+  /**
+   * The end of the exchange.
+   *
+   * @param phase phase in which it was ended
+   * @param attempt attempt that was in flight and is now aborted, null if there was none
+   */
+  private record End(Phase phase, @Nullable RelayAttempt attempt) {}
+
+  /** Ends the exchange; returns null if it had ended before. */
+  private @Nullable End end() {
+    Optional<Phase> phase;
     RelayAttempt a;
     Future<?> t;
     synchronized (this) {
-      if (over) {
-        return null;
-      }
-      over = true;
+      phase = life.end();
       a = attempt;
       attempt = null;
       t = timer;
     }
+    if (phase.isEmpty()) {
+      return null;
+    }
     if (t != null) {
       t.cancel(false);
     }
@@ -394,6 +431,6 @@
       a.abort();
     }
     onDone.accept(this);
-    return a;
+    return new End(phase.get(), a);
   }
 }
