--- a/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/RelayMetrics.java
+++ b/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/RelayMetrics.java
@@ -1,6 +1,7 @@
 package org.cowslipyoke.daemon.relay;
 
 import io.micrometer.core.instrument.Counter;
+import io.micrometer.core.instrument.DistributionSummary;
 import io.micrometer.core.instrument.MeterRegistry;
 import io.micrometer.core.instrument.Timer;
 import java.time.Duration;
@@ -24,6 +25,15 @@
         .record(Duration.ofMillis(ms));
   }
 
+  /** Records the real over the expected time to the first token of a prompt. */
+  void firstTokenRatio(String service, double ratio) {
+    DistributionSummary.builder("cowslipyoke_relay_first_token_ratio")
+        .tag("service", service)
+        .publishPercentiles(0.5, 0.9)
+        .register(meters)
+        .record(ratio);
+  }
+
   /** Counts an attempt by its result. */
   void attempt(String service, String end) {
     counter("cowslipyoke_relay_attempts", "service", service, "end", end).increment();
--- a/org.cowslipyoke/src/main/java/org/cowslipyoke/relay/PromptPlacement.java
+++ b/org.cowslipyoke/src/main/java/org/cowslipyoke/relay/PromptPlacement.java
@@ -204,8 +204,8 @@
       PlacementContext context, BackendServer server, Load load, PromptWork work) {
     ServerLoad own = loads.of(server);
     EngineProfile profile = profiles.of(server);
-    double expected = profile.firstTokenOverheadMs();
-    expected += profile.prefillMs(load.prefillTokens() + work.prefillTokens(), load.inFlight());
+    double expected =
+        profile.firstTokenMs(work.prefillTokens(), load.prefillTokens(), load.inFlight());
     expected += memoryWaitMs(context, load, own.addedTokens(work));
     expected += own.isLoading() ? LOADING_MS : 0;
     expected += isUnresponsive(context, server) ? UNRESPONSIVE_MS : 0;
--- a/org.cowslipyoke/src/main/java/org/cowslipyoke/relay/ServerLoad.java
+++ b/org.cowslipyoke/src/main/java/org/cowslipyoke/relay/ServerLoad.java
@@ -163,7 +163,7 @@
   }
 
   /** Returns the current load of the server from this process. */
-  synchronized Load snapshot() {
+  public synchronized Load snapshot() {
     return new Load(inFlight, prefillTokens, residentTokens);
   }
 
