Measure a queue against the tokens of the prompt

Cause: without long queues the share of a long queue stayed at the rate of the initial profile, not at that of the engine. Error responses counted as first tokens in the error of the estimate. What another entry reported as slow counted for 2.2 s, longer than the usual pause of 600 ms, and a server without runs of this entry ignored such reports after its first runs.

Change: the model learns what waiting tokens delay less than the prompt's own; the metric is told of successful responses only; reported slowness halves each 500 ms and counts again once an entry has no runs there.

--- a/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/EstimateMetrics.java
+++ b/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/EstimateMetrics.java
@@ -4,15 +4,16 @@
 import java.util.Locale;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
-import org.cowslipyoke.relay.AttemptObserver;
+import org.cowslipyoke.relay.AttemptObserver.Attempt;
 import org.cowslipyoke.relay.EngineProfile;
 import org.cowslipyoke.relay.EngineProfiles;
 import org.cowslipyoke.relay.PromptPlan;
 import org.cowslipyoke.relay.profile.EstimateErrors;
+import org.cowslipyoke.relay.profile.LearnedEngineProfiles.FirstTokenListener;
 import org.cowslipyoke.util.Clock;
 
 /** Metrics and log lines of the error of expected times to the first token. */
-public final class EstimateMetrics implements AttemptObserver {
+public final class EstimateMetrics implements FirstTokenListener {
 
   private static final Logger LOG = LogManager.getLogger(EstimateMetrics.class);
 
@@ -30,12 +31,11 @@
   }
 
   @Override
-  public void contentReceived(Attempt a, long nowMs, boolean first) {
+  public void onFirstToken(Attempt a, double tookMs) {
     PromptPlan plan = a.plan();
-    if (!first || plan == null) {
+    if (plan == null) {
       return;
     }
-    double tookMs = nowMs - a.startMs();
     metrics.firstTokenRatio(a.service(), tookMs / Math.max(1, plan.estimateMs()));
     EngineProfile p = profiles.of(a.server());
     for (EstimateErrors.Summary s :
--- a/org.cowslipyoke.test/src/test/java/org/cowslipyoke/relay/profile/EngineSimulation.java
+++ b/org.cowslipyoke.test/src/test/java/org/cowslipyoke/relay/profile/EngineSimulation.java
@@ -202,11 +202,23 @@
 
   /** Lets one request that has waited for a time get its first content and end. */
   void finishLate(Entry from, Engine to, long waitedMs) {
-    Attempt a = attempt(to, 500, clock.nowMs() - waitedMs, Load.NONE, 100);
+    finish(from, attempt(to, 500, clock.nowMs() - waitedMs, Load.NONE, 100), 200);
+  }
+
+  /** Lets one attempt get its first content and end now. */
+  void finish(Entry from, Attempt a, int status) {
     from.profiles.started(a);
-    from.profiles.headReceived(a, new ServerNotice(200, false, false, 0));
+    from.profiles.headReceived(a, new ServerNotice(status, false, false, 0));
     from.profiles.contentReceived(a, clock.nowMs(), true);
-    from.profiles.ended(a, new Ended(null, 200, false, waitedMs));
+    from.profiles.ended(a, new Ended(null, status, false, clock.nowMs() - a.startMs()));
+  }
+
+  /** Returns an attempt that was sent at a time. */
+  Attempt attempt(Engine to, long tokens, long startMs, Load load, double expectedMs) {
+    PromptWork work = new PromptWork(tokens, tokens, List.of());
+    PromptPlan plan =
+        new PromptPlan(to.server, 1, "", work, expectedMs, 0, 0, load, List.of(), List.of());
+    return new Attempt("q" + requests++, ROUTE, "engines", to.server, plan, 1, startMs);
   }
 
   void at(long inMs, Runnable action) {
@@ -257,13 +269,6 @@
     }
   }
 
-  private Attempt attempt(Engine to, long tokens, long startMs, Load load, double expectedMs) {
-    PromptWork work = new PromptWork(tokens, tokens, List.of());
-    PromptPlan plan =
-        new PromptPlan(to.server, 1, "", work, expectedMs, 0, 0, load, List.of(), List.of());
-    return new Attempt("q" + requests++, ROUTE, "engines", to.server, plan, 1, startMs);
-  }
-
   private void finished(Entry entry, Attempt a) {
     entry.profiles.headReceived(a, new ServerNotice(200, false, false, 0));
     entry.profiles.contentReceived(a, clock.nowMs(), true);
--- a/org.cowslipyoke.test/src/test/java/org/cowslipyoke/relay/profile/LearnedEngineProfilesTest.java
+++ b/org.cowslipyoke.test/src/test/java/org/cowslipyoke/relay/profile/LearnedEngineProfilesTest.java
@@ -7,7 +7,9 @@
 import java.util.Map;
 import java.util.function.Predicate;
 import java.util.function.ToDoubleFunction;
+import org.cowslipyoke.relay.AttemptObserver.Attempt;
 import org.cowslipyoke.relay.EngineProfile;
+import org.cowslipyoke.relay.PeerLoads.Load;
 import org.cowslipyoke.relay.profile.EngineSimulation.Engine;
 import org.cowslipyoke.relay.profile.EngineSimulation.Engines;
 import org.cowslipyoke.relay.profile.EngineSimulation.Entry;
@@ -164,6 +166,30 @@
     assertNear(before, msOfPrompt(e, engine), 0.1 * before, "expected time");
   }
 
+  /** Guards against learning from errors, repeated attempts and waits that aren't prefill. */
+  @Test
+  void ignoresTimesThatSayNothingAboutTheEngine() {
+    EngineSimulation s = new EngineSimulation(FIRST, 1, 3, 1, SEED);
+    Entry e = s.entries.get(0);
+    Engine engine = s.engines.get(0);
+    final double before = msOfPrompt(e, engine);
+    for (int i = 0; i < 100; i++) {
+      s.run(1_000);
+      s.finish(e, sent(s, engine, 1, 80), 503);
+      s.finish(e, sent(s, engine, 2, 80), 200);
+      s.finish(e, sent(s, engine, 1, 900), 200);
+    }
+    s.run(1_000);
+    assertEquals(before, msOfPrompt(e, engine), 1e-9, "seed " + SEED);
+  }
+
+  /** Returns an attempt sent 800 ms ago. */
+  private static Attempt sent(EngineSimulation s, Engine to, int ordinal, double expectedMs) {
+    Attempt a = s.attempt(to, 500, s.clock.nowMs() - 800, Load.NONE, expectedMs);
+    return new Attempt(
+        a.requestId(), a.route(), a.service(), a.server(), a.plan(), ordinal, a.startMs());
+  }
+
   /** Guards against an entry that starts with the initial profile while others know better. */
   @Test
   void startedEntryHasTheProfileOfOthersWithinOneSecond() {
--- a/org.cowslipyoke/src/main/java/org/cowslipyoke/relay/profile/Combination.java
+++ b/org.cowslipyoke/src/main/java/org/cowslipyoke/relay/profile/Combination.java
@@ -1,7 +1,6 @@
 package org.cowslipyoke.relay.profile;
 
 import java.util.ArrayList;
-import java.util.Arrays;
 import java.util.Comparator;
 import java.util.List;
 
@@ -62,8 +61,7 @@
       }
     }
     if (sum == 0) {
-      Arrays.fill(mean, 1);
-      return mean;
+      return form.priorRatios();
     }
     for (int j = 0; j < mean.length; j++) {
       mean[j] /= sum;
--- a/org.cowslipyoke/src/main/java/org/cowslipyoke/relay/profile/LearnedEngineProfiles.java
+++ b/org.cowslipyoke/src/main/java/org/cowslipyoke/relay/profile/LearnedEngineProfiles.java
@@ -50,6 +50,13 @@
   /** Time to fetch a token from the slowest store of a data sheet, in milliseconds. */
   private static final double MAX_FETCH_MS_PER_TOKEN = 0.02;
 
+  /** Is told of the first content of each successful response to a prompt. */
+  @FunctionalInterface
+  public interface FirstTokenListener {
+    /** Handles a first content that took a time in milliseconds since the attempt began. */
+    void onFirstToken(Attempt a, double tookMs);
+  }
+
   /** Load of a server from all entries. */
   @FunctionalInterface
   public interface LoadSource {
@@ -82,6 +89,7 @@
   private final long startedMs;
   private final PeerProfiles peers;
   private final DigestSchedule schedule;
+  private volatile FirstTokenListener listener = (a, tookMs) -> {};
   private final Map<String, ServiceModel> models = new HashMap<>();
   private final Map<String, ServerEvidence> servers = new LinkedHashMap<>(16, 0.75f, true);
   private final IdentityHashMap<Attempt, Run> runs = new IdentityHashMap<>();
@@ -109,6 +117,11 @@
     this.combinedMs = clock.nowMs() - COMBINE_MS;
   }
 
+  /** Sets the listener, which must not block. */
+  public void setFirstTokenListener(FirstTokenListener l) {
+    listener = l;
+  }
+
   @Override
   public EngineProfile of(BackendServer server) {
     if (clock.nowMs() - updatedMs >= UPDATE_MS) {
@@ -174,6 +187,9 @@
       }
       r.progress.recordContent(nowMs, gapMs(r.server, model, load), load);
     }
+    if (first) {
+      listener.onFirstToken(a, (double) (nowMs - a.startMs()));
+    }
   }
 
   @Override
--- a/org.cowslipyoke/src/main/java/org/cowslipyoke/relay/profile/PeerProfiles.java
+++ b/org.cowslipyoke/src/main/java/org/cowslipyoke/relay/profile/PeerProfiles.java
@@ -17,8 +17,11 @@
   /** Age from which a digest is ignored, in milliseconds; allows for three lost ones. */
   static final long MAX_AGE_MS = 8_000;
 
-  /** Age from which reported slowness is ignored, in milliseconds; allows for a lost digest. */
-  static final long MAX_SLOWNESS_AGE_MS = 2_200;
+  /**
+   * Half-life of reported slowness in milliseconds; a pause has usually ended when the next digest
+   * is due.
+   */
+  static final double SLOWNESS_HALF_LIFE_MS = 500;
 
   /** Maximum number of entries tracked; above the 400 of the largest planned deployment. */
   private static final int MAX_PEERS = 1_024;
@@ -60,14 +63,16 @@
       return Math.min(limit, median);
     }
 
-    private void add(ServerDigest d, boolean recent) {
+    private void add(ServerDigest d, long ageMs) {
       double n = Math.max(0, Math.min(MAX_COUNT, d.count()));
       if (!Double.isNaN(d.meanLog())) {
         logSum += n * Math.max(-MAX_LOG, Math.min(MAX_LOG, d.meanLog()));
         count += n;
       }
-      if (recent && d.slowness() > ServerEvidence.SLOW) {
-        slowness.add(d.slowness());
+      double excess = Math.min(ServerEvidence.MAX_SLOWNESS, d.slowness()) - 1;
+      double left = excess * Math.pow(0.5, ageMs / SLOWNESS_HALF_LIFE_MS);
+      if (left > ServerEvidence.SLOW - 1) {
+        slowness.add(1 + left);
       }
     }
   }
@@ -135,9 +140,8 @@
     Map<Integer, Pooled> pooled = new HashMap<>();
     long now = clock.nowMs();
     for (Received r : byVm.values()) {
-      boolean recent = now - r.atMs() <= MAX_SLOWNESS_AGE_MS;
       for (ServerDigest d : r.digest().servers()) {
-        pooled.computeIfAbsent(d.key(), k -> new Pooled()).add(d, recent);
+        pooled.computeIfAbsent(d.key(), k -> new Pooled()).add(d, now - r.atMs());
       }
     }
     return pooled;
--- a/org.cowslipyoke/src/main/java/org/cowslipyoke/relay/profile/RobustRegression.java
+++ b/org.cowslipyoke/src/main/java/org/cowslipyoke/relay/profile/RobustRegression.java
@@ -3,8 +3,8 @@
 import java.util.Arrays;
 
 /**
- * Damped robust linear regression of times with positive coefficients. Each coefficient is a
- * multiple ("ratio") of its prior. Errors count relative to the expected time, and a large one
+ * Damped robust linear regression of times. Each coefficient is a multiple ("ratio") of a unit, in
+ * a range around an expected ratio. Errors count relative to the expected time, and a large one
  * counts in proportion to its size instead of its square, so no single time decides. Older times
  * are forgotten exponentially. Not thread-safe.
  */
@@ -28,12 +28,13 @@
   /**
    * Prior of a coefficient.
    *
-   * @param value expected coefficient
+   * @param value unit of the coefficient
+   * @param ratio expected ratio of the coefficient to it
    * @param deviation standard deviation of its ratio
    * @param minRatio least ratio
    * @param maxRatio greatest ratio
    */
-  record Prior(double value, double deviation, double minRatio, double maxRatio) {}
+  record Prior(double value, double ratio, double deviation, double minRatio, double maxRatio) {}
 
   private final Prior[] priors;
   private final double[] ratios;
@@ -43,8 +44,7 @@
 
   RobustRegression(Prior... priors) {
     this.priors = priors.clone();
-    this.ratios = new double[priors.length];
-    Arrays.fill(ratios, 1);
+    this.ratios = priorRatios();
     this.moments = new double[priors.length][priors.length];
     this.targets = new double[priors.length];
   }
@@ -54,6 +54,11 @@
     return count;
   }
 
+  /** Returns the ratios that are expected without any time. */
+  double[] priorRatios() {
+    return Arrays.stream(priors).mapToDouble(Prior::ratio).toArray();
+  }
+
   /** Returns the current ratios. */
   double[] ratios() {
     return ratios.clone();
@@ -88,7 +93,7 @@
     double priorMs = 0;
     for (int j = 0; j < z.length; j++) {
       z[j] = features[j] * priors[j].value() / expectedMs;
-      priorMs += features[j] * priors[j].value();
+      priorMs += features[j] * priors[j].value() * priors[j].ratio();
     }
     double target = (tookMs - priorMs) / expectedMs;
     for (int j = 0; j < z.length; j++) {
@@ -109,9 +114,9 @@
       double damping = NOISE_VARIANCE / (p.deviation() * p.deviation());
       double rest = targets[j];
       for (int k = 0; k < ratios.length; k++) {
-        rest -= k == j ? 0 : moments[j][k] * (ratios[k] - 1);
+        rest -= k == j ? 0 : moments[j][k] * (ratios[k] - priors[k].ratio());
       }
-      double ratio = 1 + rest / (moments[j][j] + damping);
+      double ratio = p.ratio() + rest / (moments[j][j] + damping);
       ratios[j] = Math.max(p.minRatio(), Math.min(p.maxRatio(), ratio));
     }
   }
--- a/org.cowslipyoke/src/main/java/org/cowslipyoke/relay/profile/ServerFactors.java
+++ b/org.cowslipyoke/src/main/java/org/cowslipyoke/relay/profile/ServerFactors.java
@@ -93,7 +93,9 @@
     List<Double> all = new ArrayList<>();
     int seen = 0;
     for (ServerEvidence s : servers) {
-      if (!s.isIdle()) {
+      if (s.isIdle()) {
+        s.update(nowMs, new double[0], 1);
+      } else {
         double[] own = s.paces(nowMs, gapMs.applyAsDouble(s));
         paces.put(s, own);
         seen += own.length > 0 ? 1 : 0;
--- a/org.cowslipyoke/src/main/java/org/cowslipyoke/relay/profile/ServiceModel.java
+++ b/org.cowslipyoke/src/main/java/org/cowslipyoke/relay/profile/ServiceModel.java
@@ -49,19 +49,23 @@
   private static final double MS_PER_TOKEN_AND_REQUEST =
       INITIAL.stepMsPerRequest() / INITIAL.chunkTokens();
 
+  /**
+   * Coefficients of the overhead, a token, a token beside a running request, and of what each token
+   * of a short and of a long queue delays less than a token of the prompt.
+   */
   private final RobustRegression first =
       new RobustRegression(
-          new Prior(INITIAL.firstTokenOverheadMs(), 1, 0.02, 8),
-          new Prior(MS_PER_TOKEN, 0.7, 0.1, 8),
-          new Prior(MS_PER_TOKEN_AND_REQUEST, 0.3, 0, 4),
-          new Prior(MS_PER_TOKEN, 0.7, 0, 8),
-          new Prior(MS_PER_TOKEN, 0.5, 0.05, 8));
+          new Prior(INITIAL.firstTokenOverheadMs(), 1, 1, 0.02, 8),
+          new Prior(MS_PER_TOKEN, 1, 0.7, 0.1, 8),
+          new Prior(MS_PER_TOKEN_AND_REQUEST, 1, 0.3, 0, 4),
+          new Prior(MS_PER_TOKEN, 0, 0.6, 0, 8),
+          new Prior(MS_PER_TOKEN, 0, 0.4, 0, 8));
 
   private final RobustRegression gap =
       new RobustRegression(
-          new Prior(INITIAL_TOKENS_PER_CONTENT * INITIAL.stepMs(), 1, 0.05, 10),
-          new Prior(INITIAL_TOKENS_PER_CONTENT * INITIAL.stepMsPerRequest(), 0.5, 0, 10),
-          new Prior(INITIAL_PREFILL_IN_GAP * MS_PER_TOKEN, 0.5, 0, 8));
+          new Prior(INITIAL_TOKENS_PER_CONTENT * INITIAL.stepMs(), 1, 1, 0.05, 10),
+          new Prior(INITIAL_TOKENS_PER_CONTENT * INITIAL.stepMsPerRequest(), 1, 0.5, 0, 10),
+          new Prior(INITIAL_PREFILL_IN_GAP * MS_PER_TOKEN, 1, 0.5, 0, 8));
 
   private double[] firstRatios = first.ratios();
   private double[] gapRatios = gap.ratios();
@@ -111,7 +115,9 @@
 
   private static EngineProfile toProfile(double[] r) {
     double token = Math.max(1e-9, r[1]);
-    Queue queue = new Queue(r[3] / token, Math.max(MIN_LONG_FRACTION, r[4] / token));
+    double shortFraction = Math.max(0, 1 - r[3] / token);
+    double longFraction = Math.max(MIN_LONG_FRACTION, 1 - r[4] / token);
+    Queue queue = new Queue(shortFraction, longFraction);
     return new EngineProfile(
         INITIAL.prefillMsPerToken() * r[1],
         INITIAL.chunkTokens(),
@@ -125,7 +131,8 @@
   private static double[] firstFeatures(long tokens, Load load) {
     double shortQueue = Math.min(load.prefillTokens(), Queue.KNEE_TOKENS);
     double longQueue = load.prefillTokens() - shortQueue;
-    return new double[] {1, tokens, (double) tokens * load.inFlight(), shortQueue, longQueue};
+    double all = tokens + shortQueue + longQueue;
+    return new double[] {1, all, all * load.inFlight(), -shortQueue, -longQueue};
   }
 
   private static double[] gapFeatures(Load load) {
