Decide when requests leave their failure domain

Cause: the fixed costs of a crossing, 10 ms for a prompt and 0.3 requests in flight for others, know neither what a crossing costs nor how full the entry's own failure domain is. Half of all prompts cross between balanced domains, and nothing protects the callers of a domain with just enough servers.

CrossingCost is told the size of the request and a draw that selects those that leave.

--- a/org.cowslipyoke/src/main/java/org/cowslipyoke/relay/PromptPlacement.java
+++ b/org.cowslipyoke/src/main/java/org/cowslipyoke/relay/PromptPlacement.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Optional;
 import org.cowslipyoke.relay.CacheTransferPlanner.CachedPrefix;
+import org.cowslipyoke.relay.CrossingCost.Crossing;
 import org.cowslipyoke.relay.PeerLoads.Load;
 import org.cowslipyoke.relay.Prompt.Part;
 import org.cowslipyoke.util.Clock;
@@ -56,6 +57,12 @@
    */
   static final double UNRESPONSIVE_MS = 2_000;
 
+  /** Size of a prompt's token in bytes, as the load model of the design counts it. */
+  static final int BYTES_PER_TOKEN = 4;
+
+  /** Size of a token of the response in bytes, an event of its own. */
+  static final int BYTES_PER_EVENT = 100;
+
   private final Clock clock;
   private final String ownDomain;
   private final ServerLoads loads;
@@ -107,7 +114,8 @@
       FleetLoad load,
       boolean pollingSound,
       List<CacheStore> stores,
-      Map<String, Integer> fetchableBySalt) {}
+      Map<String, Integer> fetchableBySalt,
+      Crossing crossing) {}
 
   /**
    * A server that could run the prompt, with its cost.
@@ -155,7 +163,8 @@
             FleetLoad.of(loads, peers, candidates, state.entries()),
             silentServers.isOwnPollingSound(state.available(group.name())),
             managedStores(state, group),
-            new HashMap<>());
+            new HashMap<>(),
+            crossing(p));
     ScoredServer best = null;
     for (int rank = 0; rank < order.size(); rank++) {
       ScoredServer o = score(context, order.get(rank), rank);
@@ -217,7 +226,9 @@
     ServerLoad own = loads.of(server);
     String domain = server.failureDomain();
     double penalty =
-        domain.equals(ownDomain) ? 0 : crossing.promptMs(context.group().name(), domain);
+        domain.equals(ownDomain)
+            ? 0
+            : crossing.promptMs(context.group().name(), domain, context.crossing());
     penalty += FAILURE_MS * own.recentFailures();
     penalty += oldWeights ? OLD_WEIGHTS_MS : 0;
     penalty += own.isFull() ? FULL_MS : 0;
@@ -304,6 +315,17 @@
         managed ? transfers.targets(context.stores(), o.salt(), p) : none);
   }
 
+  /** Returns the crossing of a prompt, whose last part tells it from others. */
+  private static Crossing crossing(Prompt p) {
+    List<Part> parts = p.parts();
+    String id = parts.isEmpty() ? p.model() : parts.get(parts.size() - 1).id();
+    long hash = Rendezvous.weight(id.getBytes(StandardCharsets.UTF_8), "crossing");
+    long bytes =
+        (long) BYTES_PER_TOKEN * p.promptTokens()
+            + (long) BYTES_PER_EVENT * p.expectedAnswerTokens();
+    return new Crossing(bytes, (hash >>> 11) * 0x1.0p-53);
+  }
+
   /**
    * Returns the hash key of a prompt. The last part is unique to the request, so the part before it
    * identifies the shared prefix.
--- a/org.cowslipyoke/src/main/java/org/cowslipyoke/relay/RouteTable.java
+++ b/org.cowslipyoke/src/main/java/org/cowslipyoke/relay/RouteTable.java
@@ -7,17 +7,22 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 
 /** Routes by host and longest path prefix. Immutable. */
 public final class RouteTable {
 
   private final Map<String, List<Route>> byHost;
+  private final Map<String, Long> shortestObjectives = new HashMap<>();
 
   /** Creates a table. */
   public RouteTable(List<Route> routes) {
     Map<String, List<Route>> map = new HashMap<>();
     for (Route r : routes) {
       map.computeIfAbsent(r.host().toLowerCase(Locale.ROOT), h -> new ArrayList<>()).add(r);
+      if (r.objectiveMs() > 0) {
+        r.shares().forEach(s -> shortestObjectives.merge(s.service(), r.objectiveMs(), Math::min));
+      }
     }
     Comparator<Route> longestFirst = Comparator.comparingInt(r -> -r.prefix().length());
     map.values().forEach(l -> l.sort(longestFirst));
@@ -38,6 +43,12 @@
         .findFirst();
   }
 
+  /** Returns the shortest objective of the routes to a service, empty if none has one. */
+  public OptionalLong shortestObjectiveMs(String service) {
+    Long ms = shortestObjectives.get(service);
+    return ms == null ? OptionalLong.empty() : OptionalLong.of(ms);
+  }
+
   /** Returns the number of routes. */
   public int size() {
     return byHost.values().stream().mapToInt(List::size).sum();
--- a/org.cowslipyoke/src/main/java/org/cowslipyoke/relay/ServicePlacement.java
+++ b/org.cowslipyoke/src/main/java/org/cowslipyoke/relay/ServicePlacement.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.random.RandomGenerator;
+import org.cowslipyoke.relay.CrossingCost.Crossing;
 
 /**
  * Places requests of services that run no model on the server with the lowest load from this
@@ -18,6 +19,9 @@
   /** Additional cost of a server in another failure domain, in requests in flight. */
   static final double REMOTE_WEIGHT = 0.3;
 
+  /** Expected size of a request and its response together, in bytes. */
+  static final long REQUEST_BYTES = 2_000;
+
   private final ServerLoads loads;
   private final String ownDomain;
   private final CrossingCost crossing;
@@ -36,16 +40,17 @@
   public Optional<BackendServer> choose(List<BackendServer> candidates) {
     record Scored(BackendServer server, double cost) {}
 
+    Crossing c = new Crossing(REQUEST_BYTES, random.nextDouble());
     return candidates.stream()
-        .map(s -> new Scored(s, cost(s)))
+        .map(s -> new Scored(s, cost(s, c)))
         .min(Comparator.comparingDouble(Scored::cost))
         .map(Scored::server);
   }
 
-  private double cost(BackendServer s) {
+  private double cost(BackendServer s, Crossing c) {
     ServerLoad l = loads.of(s);
     String domain = s.failureDomain();
-    double remote = domain.equals(ownDomain) ? 0 : crossing.requests(s.group(), domain);
+    double remote = domain.equals(ownDomain) ? 0 : crossing.requests(s.group(), domain, c);
     double full = l.isFull() ? FAILURE_WEIGHT : 0;
     double jitter = random.nextDouble() * 0.2;
     double slowness = 1 + l.responseMs() / 100;
