Let streams outlive their engine by a copy at another one

Change: BackupPlanner chooses a server that the run is copied to as it grows, if the expected loss costs more than the transfer and a server has room. EngineLiveness finds silent engines: quiet for longer than the route's pause target and the engine's pace suggest, two probes on new connections unanswered, and another engine heard meanwhile; entries tell each other. RunFailover then closes the old connection and lets the run go on from the copy, once, within the retry budget. New requests and copies avoid such engines, and resumable streams leave them by the same verdict.

--- a/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/Relay.java
+++ b/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/Relay.java
@@ -191,6 +191,11 @@
     return new InetSocketAddress(connector.getHost(), connector.getLocalPort());
   }
 
+  /** Takes requests that may go on at another server from servers that were found lost. */
+  public void leaveLostServers() {
+    timers.execute(handler::checkServers);
+  }
+
   /** Returns the requests that are suspected to crash servers. */
   public CrashSuspects suspects() {
     return suspects;
--- a/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/RelayAttempt.java
+++ b/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/RelayAttempt.java
@@ -6,6 +6,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 import org.cowslipyoke.daemon.relay.RelayDialect.ResponseHead;
+import org.cowslipyoke.failover.RunCopy;
 import org.cowslipyoke.http.HttpConnector;
 import org.cowslipyoke.http.ResponseBuffer;
 import org.cowslipyoke.relay.AttemptEnd;
@@ -42,6 +43,7 @@
   private final RelayExchange exchange;
   private final BackendServer server;
   private final @Nullable PromptPlan plan;
+  private final @Nullable RunCopy copy;
   private final PromptWork work;
   private final ServerLoad load;
   private final EventSplitter events;
@@ -58,13 +60,19 @@
   private long firstContentMs;
   private int resends;
   private volatile boolean ended;
+  private volatile boolean left;
   private final AttemptObservers observers;
   private final Attempt attempt;
 
-  RelayAttempt(RelayExchange exchange, BackendServer server, @Nullable PromptPlan plan) {
+  RelayAttempt(
+      RelayExchange exchange,
+      BackendServer server,
+      @Nullable PromptPlan plan,
+      @Nullable RunCopy copy) {
     this.exchange = exchange;
     this.server = server;
     this.plan = plan;
+    this.copy = copy;
     this.work = plan == null ? PromptWork.NONE : plan.work();
     this.load = exchange.services().loads().of(server);
     this.events = new EventSplitter(exchange.run().lastEventId());
@@ -110,7 +118,8 @@
         exchange
             .services()
             .dialect()
-            .serverRequestHeaders(exchange.caller().headers(), exchange.outbound(server, plan));
+            .serverRequestHeaders(
+                exchange.caller().headers(), exchange.outbound(server, plan, copy));
     long leftMs = exchange.leftMs();
     Request r =
         exchange
@@ -140,9 +149,18 @@
 
   /** Closes the connection to a server that has stopped responding, which ends the attempt. */
   void leaveServer() {
+    left = true;
     abort("the server does not respond");
   }
 
+  /**
+   * Returns whether the run may go on elsewhere. A server that crashes as the response begins may
+   * have crashed because of the request.
+   */
+  boolean isContinuable() {
+    return left || hasBegun();
+  }
+
   /**
    * Aborts the exchange with the server and closes the connection. After a complete response the
    * server may still read the rest of the request.
--- a/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/RelayDialect.java
+++ b/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/RelayDialect.java
@@ -2,6 +2,7 @@
 
 import io.vavr.control.Either;
 import org.cowslipyoke.errors.Failure;
+import org.cowslipyoke.failover.RunCopy;
 import org.cowslipyoke.relay.BackendServer;
 import org.cowslipyoke.relay.PromptPlan;
 import org.cowslipyoke.relay.RelayRequest;
@@ -19,6 +20,7 @@
    * @param organisation owner of the request, null on an open route
    * @param plan placement of a prompt, null for other requests
    * @param lastEventId id of the last event that the caller received, null if none
+   * @param copy copy of the run that is made or that it goes on from, null if none
    */
   record ServerRequest(
       RelayRequest request,
@@ -27,7 +29,8 @@
       @Nullable String organisation,
       int priority,
       @Nullable PromptPlan plan,
-      @Nullable String lastEventId) {}
+      @Nullable String lastEventId,
+      @Nullable RunCopy copy) {}
 
   /**
    * Data from the head of a server's response.
--- a/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/RelayExchange.java
+++ b/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/RelayExchange.java
@@ -12,6 +12,7 @@
 import org.cowslipyoke.daemon.relay.RelayDialect.ServerRequest;
 import org.cowslipyoke.errors.ErrorKind;
 import org.cowslipyoke.errors.Failure;
+import org.cowslipyoke.failover.RunCopy;
 import org.cowslipyoke.relay.Admission.AdmittedRequest;
 import org.cowslipyoke.relay.AttemptEnd;
 import org.cowslipyoke.relay.BackendServer;
@@ -49,6 +50,7 @@
   private final long endMs;
   private final RequestAttempts run;
   private final RequestCrashTracker crashTracker;
+  private final RunFailover failover;
   private final Consumer<RelayExchange> onDone;
   private @Nullable RelayAttempt attempt;
   private @Nullable Future<?> timer;
@@ -72,6 +74,7 @@
     this.endMs = startMs + Math.min(request.waitMs(), admitted.route().timeoutMs());
     this.onDone = onDone;
     this.crashTracker = new RequestCrashTracker(services, request, organisation(), body);
+    this.failover = new RunFailover(services, request, admitted.route(), service);
     this.run =
         new RequestAttempts(
             admitted.route(),
@@ -155,9 +158,16 @@
   }
 
   /** Returns the data for the headers of a request to a server. */
-  ServerRequest outbound(BackendServer server, @Nullable PromptPlan plan) {
+  ServerRequest outbound(BackendServer server, @Nullable PromptPlan plan, @Nullable RunCopy copy) {
     return new ServerRequest(
-        request, server, leftMs(), organisation(), admitted.priority(), plan, run.lastEventId());
+        request,
+        server,
+        leftMs(),
+        organisation(),
+        admitted.priority(),
+        plan,
+        run.lastEventId(),
+        copy);
   }
 
   private void startNextAttempt() {
@@ -171,7 +181,8 @@
         attempt = null;
       } else {
         run.recordAttempt(p.server());
-        attempt = new RelayAttempt(this, p.server(), p.plan());
+        RunCopy copy = failover.begin(p.plan(), admitted.desired().groups().get(service));
+        attempt = new RelayAttempt(this, p.server(), p.plan(), copy);
       }
       next = attempt;
     }
@@ -266,7 +277,12 @@
       attempt = null;
       boolean others =
           services.state().get().available(service).stream().anyMatch(s -> !run.hasTried(s));
-      next = run.onAttemptEnd(end, others, leftMs() >= MIN_ATTEMPT_MS);
+      boolean copied =
+          end == AttemptEnd.BROKEN
+              && a.isContinuable()
+              && failover.isReady()
+              && crashTracker.refusal().isEmpty();
+      next = run.onAttemptEnd(end, others, copied, leftMs() >= MIN_ATTEMPT_MS);
     }
     services.metrics().attempt(service, end.name());
     LOG.info(
@@ -282,6 +298,7 @@
         next);
     switch (next) {
       case AGAIN -> startNextAttempt();
+      case CONTINUE -> continueRun(a);
       case PASS_ON -> a.passOn();
       case FAIL -> fail(run.finalFailure());
       case CUT -> cut("the server's answer broke off");
@@ -289,26 +306,46 @@
     }
   }
 
+  /** Lets the run go on from its copy, after the connection of its last attempt was closed. */
+  private void continueRun(RelayAttempt last) {
+    RelayAttempt next;
+    synchronized (this) {
+      if (over) {
+        return;
+      }
+      next = failover.continuation(this, last);
+      run.recordAttempt(next.server());
+      attempt = next;
+    }
+    next.send();
+  }
+
   /**
    * Ends the attempt if its server has stopped responding and the request may go on at another one.
    */
   void checkServer() {
     RelayAttempt a;
+    boolean mayRetry;
     synchronized (this) {
-      if (over || attempt == null || !run.mayRetryCurrentAttempt()) {
+      mayRetry = run.mayRetryCurrentAttempt();
+      boolean mayContinue = run.mayContinueCurrentAttempt() && failover.isReady();
+      if (over || attempt == null || !(mayRetry || mayContinue)) {
         return;
       }
       a = attempt;
     }
     List<BackendServer> servers = services.state().get().available(service);
-    boolean others = servers.stream().anyMatch(s -> !run.hasTried(s));
-    if (others && services.silentServers().isAttemptLost(servers, a.server(), a.idleMs())) {
+    boolean others = !mayRetry || servers.stream().anyMatch(s -> !run.hasTried(s));
+    if (others
+        && (failover.isLost(a.server())
+            || services.silentServers().isAttemptLost(servers, a.server(), a.idleMs()))) {
       a.leaveServer();
     }
   }
 
   /** Records that a complete response was passed on. */
   void answered() {
+    failover.ended(true);
     finish();
   }
 
@@ -392,6 +429,7 @@
     if (a != null) {
       a.abort();
     }
+    failover.ended(false);
     onDone.accept(this);
     return a;
   }
--- a/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/RelayExtensions.java
+++ b/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/RelayExtensions.java
@@ -1,10 +1,13 @@
 package org.cowslipyoke.daemon.relay;
 
 import java.util.List;
+import org.cowslipyoke.failover.BackupPlanner;
+import org.cowslipyoke.failover.EngineLiveness;
 import org.cowslipyoke.relay.AttemptObserver;
 import org.cowslipyoke.relay.CandidateFilter;
 import org.cowslipyoke.relay.CrossingCost;
 import org.cowslipyoke.relay.EngineProfiles;
+import org.jspecify.annotations.Nullable;
 
 /**
  * Decisions that a deployment adds to the relay.
@@ -13,12 +16,31 @@
  * @param observers told of each attempt
  * @param profiles profiles of the engines
  * @param crossing cost of servers in other failure domains
+ * @param failover decisions about runs that go on at another server, null if none do
  */
 public record RelayExtensions(
     List<CandidateFilter> filters,
     List<AttemptObserver> observers,
     EngineProfiles profiles,
-    CrossingCost crossing) {
+    CrossingCost crossing,
+    @Nullable Failover failover) {
+
+  /**
+   * Decisions about runs that go on at another server.
+   *
+   * @param liveness finds engines that have fallen silent; must also be among filters and observers
+   * @param planner chooses the servers that runs are copied to
+   */
+  public record Failover(EngineLiveness liveness, BackupPlanner planner) {}
+
+  /** Creates extensions with which no run goes on at another server. */
+  public RelayExtensions(
+      List<CandidateFilter> filters,
+      List<AttemptObserver> observers,
+      EngineProfiles profiles,
+      CrossingCost crossing) {
+    this(filters, observers, profiles, crossing, null);
+  }
 
   /** No additional decisions. */
   public static final RelayExtensions NONE =
--- a/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/RelayMetrics.java
+++ b/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/RelayMetrics.java
@@ -34,6 +34,16 @@
     counter("cowslipyoke_relay_own_answers", "kind", kind.wireName()).increment();
   }
 
+  /** Counts a decision about the copy of a run. */
+  void backup(String service, String decision) {
+    counter("cowslipyoke_relay_backups", "service", service, "decision", decision).increment();
+  }
+
+  /** Counts a run that goes on from its copy, by its result so far. */
+  void continuation(String service, String result) {
+    counter("cowslipyoke_relay_continuations", "service", service, "result", result).increment();
+  }
+
   /** Counts a decision about a request that is suspected to crash servers. */
   void suspect(String decision) {
     counter("cowslipyoke_relay_suspects", "decision", decision).increment();
--- /dev/null
+++ b/org.cowslipyoke.test/src/test/java/org/cowslipyoke/failover/EngineLivenessTest.java
@@ -0,0 +1,153 @@
+package org.cowslipyoke.failover;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import org.cowslipyoke.relay.AttemptObserver.Attempt;
+import org.cowslipyoke.relay.BackendServer;
+import org.junit.jupiter.api.Test;
+
+class EngineLivenessTest {
+
+  private static final BackendServer A = FailoverFixture.server("a", "d1");
+  private static final BackendServer B = FailoverFixture.server("b", "d2");
+  private static final BackendServer C = FailoverFixture.server("c", "d2");
+
+  /** Usual time between the events of a stream, in milliseconds. */
+  private static final long PACE_MS = 60;
+
+  private final FailoverFixture entry = new FailoverFixture(A, B, C);
+  private final EngineLiveness liveness = entry.liveness;
+  private final List<BackendServer> probed = new ArrayList<>();
+  private final List<BackendServer> lost = new ArrayList<>();
+
+  private Attempt stream(BackendServer server) {
+    Attempt a = entry.attempt("r-" + server.id(), server);
+    liveness.started(a);
+    liveness.contentReceived(a, entry.clock.nowMs(), true);
+    return a;
+  }
+
+  /** Runs for a time in which only the given engines send events and answer probes. */
+  private void run(long ms, Set<BackendServer> alive, Attempt... streams) {
+    for (long t = 1; t <= ms; t++) {
+      entry.clock.advance(1);
+      for (Attempt a : streams) {
+        if (t % PACE_MS == 0 && alive.contains(a.server())) {
+          liveness.contentReceived(a, entry.clock.nowMs(), false);
+        }
+      }
+      if (t % EngineLiveness.TICK_MS == 0) {
+        EngineLiveness.Actions actions = liveness.tick();
+        probed.addAll(actions.probes());
+        lost.addAll(actions.lost());
+        actions.probes().stream().filter(alive::contains).forEach(liveness::probeAnswered);
+      }
+    }
+  }
+
+  /** Guards against a stream that waits for a dead engine until its answer is late. */
+  @Test
+  void silentEngineIsLostBeforeItsStreamsAreLate() {
+    Attempt a = stream(A);
+    Attempt b = stream(B);
+    run(600, Set.of(A, B, C), a, b);
+    assertEquals(List.of(), lost);
+    run(200, Set.of(B, C), a, b);
+    assertEquals(List.of(A), lost);
+    assertTrue(liveness.isLost(A));
+    assertTrue(liveness.isAvoided(A));
+    assertFalse(liveness.isAvoided(B));
+  }
+
+  /** Guards against leaving an engine that is only slow, whose run would go on there. */
+  @Test
+  void engineThatAnswersProbesIsNotLost() {
+    stream(A);
+    Attempt b = stream(B);
+    for (int i = 0; i < 20; i++) {
+      run(PACE_MS - 1, Set.of(A, B, C), b);
+    }
+    assertTrue(probed.contains(A));
+    assertEquals(List.of(), lost);
+    assertFalse(liveness.isAvoided(A));
+  }
+
+  /** Guards against leaving sound engines because this entry lost its own connection. */
+  @Test
+  void noEngineIsLostWhileNoneIsHeard() {
+    Attempt a = stream(A);
+    Attempt b = stream(B);
+    run(300, Set.of(A, B, C), a, b);
+    run(2_000, Set.of(), a, b);
+    assertEquals(List.of(), lost);
+  }
+
+  /** Guards against leaving engines whose answers wait in a process that was stopped. */
+  @Test
+  void pauseOfThisProcessIsNotSilence() {
+    Attempt a = stream(A);
+    stream(B);
+    run(300, Set.of(A, B, C), a);
+    run(100, Set.of(B, C), a);
+    entry.clock.advance(400);
+    liveness.probeAnswered(B);
+    assertEquals(List.of(), liveness.tick().lost());
+    liveness.probeAnswered(A);
+    assertFalse(liveness.isAvoided(A));
+  }
+
+  /** Guards against a lost engine that gets no work although it is back. */
+  @Test
+  void engineIsUsedAgainOnceItIsHeard() {
+    Attempt a = stream(A);
+    Attempt b = stream(B);
+    run(300, Set.of(A, B, C), a, b);
+    run(300, Set.of(B, C), a, b);
+    assertTrue(liveness.isLost(A));
+    run(EngineLiveness.AGAIN_MS + 100, Set.of(A, B, C), b);
+    assertFalse(liveness.isLost(A));
+  }
+
+  /** Guards against a lost engine that is never polled to be used again. */
+  @Test
+  void engineThatAnswersItsEventReaderIsBack() {
+    Attempt a = stream(A);
+    Attempt b = stream(B);
+    run(300, Set.of(A, B, C), a, b);
+    run(300, Set.of(B, C), a, b);
+    entry.directory.contents(A.address()).recordResponse(entry.clock.nowMs());
+    run(EngineLiveness.TICK_MS, Set.of(B, C), b);
+    assertFalse(liveness.isLost(A));
+  }
+
+  /** Guards against new requests at an engine that another entry knows to be lost. */
+  @Test
+  void reportOfAnotherEntryIsCheckedAtOnce() {
+    Attempt a = stream(A);
+    run(300, Set.of(A, B, C), a);
+    entry.clock.advance(40);
+    liveness.peerFoundLost(A.incarnation());
+    assertTrue(liveness.isAvoided(A));
+    assertFalse(liveness.isLost(A), "this entry reaches the engine as far as it knows");
+    run(EngineLiveness.TICK_MS, Set.of(A, B, C));
+    assertTrue(probed.contains(A));
+    assertFalse(liveness.isAvoided(A), "the engine has answered this entry");
+    liveness.peerFoundLost("unknown");
+  }
+
+  /** Guards against probes without bound while many engines are slow. */
+  @Test
+  void probesAreLimited() {
+    stream(A);
+    for (int i = 0; i < 100; i++) {
+      run(100, Set.of(A, B, C));
+    }
+    double most = EngineLiveness.PROBE_BURST + 10 * EngineLiveness.PROBES_PER_S;
+    assertTrue(probed.size() <= most, probed.size() + " probes in 10 s");
+  }
+}
--- a/org.cowslipyoke/src/main/java/org/cowslipyoke/relay/RequestAttempts.java
+++ b/org.cowslipyoke/src/main/java/org/cowslipyoke/relay/RequestAttempts.java
@@ -27,6 +27,8 @@
   public enum NextStep {
     /** Send the request to another server. */
     AGAIN,
+    /** Let the run go on at the server that holds a copy of its memory. */
+    CONTINUE,
     /** Pass the server's error response on to the caller. */
     PASS_ON,
     /** Answer the caller with {@link #finalFailure()}. */
@@ -42,6 +44,7 @@
   private int countedAttempts;
   private boolean mayHaveRun;
   private boolean responseStarted;
+  private boolean continued;
   private @Nullable String lastEventId;
 
   /**
@@ -101,20 +104,41 @@
         && countedAttempts + 1 < route.maxAttempts();
   }
 
+  /** Returns whether the run of the current attempt may go on from a copy if it breaks off. */
+  public boolean mayContinueCurrentAttempt() {
+    return !continued && attempts < MAX_ATTEMPTS;
+  }
+
+  /** Decides on the step after the end of an attempt whose run was not copied. */
+  public NextStep onAttemptEnd(AttemptEnd end, boolean others, boolean timeLeft) {
+    return onAttemptEnd(end, others, false, timeLeft);
+  }
+
   /**
-   * Decides on the step after an attempt has ended.
+   * Decides on the step after an attempt has ended. A run goes on from a copy at most once, also if
+   * the request must not be retried, because the server with the copy either continues the same run
+   * or refuses the request.
    *
    * @param others whether another server could run the request
+   * @param copied whether another server that may get work holds a copy of the run
    * @param timeLeft whether enough time is left for another attempt
    */
-  public NextStep onAttemptEnd(AttemptEnd end, boolean others, boolean timeLeft) {
+  public NextStep onAttemptEnd(AttemptEnd end, boolean others, boolean copied, boolean timeLeft) {
     boolean arrived = end != AttemptEnd.NOT_SENT;
     if (arrived && end != AttemptEnd.MISDIRECTED) {
       countedAttempts++;
     }
     boolean ran = end == AttemptEnd.BROKEN || end == AttemptEnd.FAILED;
     mayHaveRun |= ran;
-    boolean allowed = !ran || route.isRetryable();
+    if (end == AttemptEnd.BROKEN
+        && copied
+        && timeLeft
+        && mayContinueCurrentAttempt()
+        && retryBudget.getAsBoolean()) {
+      continued = true;
+      return NextStep.CONTINUE;
+    }
+    boolean allowed = !mayHaveRun || route.isRetryable();
     boolean again =
         allowed
             && others
--- a/org.cowslipyoke/src/main/java/org/cowslipyoke/relay/Route.java
+++ b/org.cowslipyoke/src/main/java/org/cowslipyoke/relay/Route.java
@@ -14,6 +14,8 @@
  * @param priority priority of requests, 0 is the most urgent
  * @param open whether requests need no key
  * @param shares services with their traffic weights, all positive
+ * @param gapMs longest pause between events of a stream that is on time, in milliseconds; 0 if
+ *     there is no target
  */
 public record Route(
     String name,
@@ -26,7 +28,36 @@
     int maxAttempts,
     int priority,
     boolean open,
-    List<Share> shares) {
+    List<Share> shares,
+    long gapMs) {
+
+  /** Creates a route without a target for the pauses of its streams. */
+  public Route(
+      String name,
+      String host,
+      String prefix,
+      RequestKind kind,
+      boolean resumable,
+      long timeoutMs,
+      long objectiveMs,
+      int maxAttempts,
+      int priority,
+      boolean open,
+      List<Share> shares) {
+    this(
+        name,
+        host,
+        prefix,
+        kind,
+        resumable,
+        timeoutMs,
+        objectiveMs,
+        maxAttempts,
+        priority,
+        open,
+        shares,
+        0);
+  }
 
   /** Traffic weight of a service in a route. */
   public record Share(String service, int weight) {}
--- a/org.cowslipyoke/src/main/java/org/cowslipyoke/relay/ServerGroup.java
+++ b/org.cowslipyoke/src/main/java/org/cowslipyoke/relay/ServerGroup.java
@@ -23,6 +23,8 @@
    * @param linkMbps bandwidth of its network link in megabits per second
    * @param maxEventReaders maximum concurrent requests for cache events, 0 if not stated
    * @param managedCache whether each part of a prompt may have its own source and target
+   * @param backups whether engines copy the memory of a run to another engine as it grows
+   * @param copyMs time for which a copy is kept after its last part was received, in milliseconds
    */
   public record EngineConfig(
       int slots,
@@ -30,5 +32,19 @@
       long bytesPerToken,
       double linkMbps,
       int maxEventReaders,
-      boolean managedCache) {}
+      boolean managedCache,
+      boolean backups,
+      long copyMs) {
+
+    /** Creates the capacities of an engine that copies no runs. */
+    public EngineConfig(
+        int slots,
+        long cacheTokens,
+        long bytesPerToken,
+        double linkMbps,
+        int maxEventReaders,
+        boolean managedCache) {
+      this(slots, cacheTokens, bytesPerToken, linkMbps, maxEventReaders, managedCache, false, 0);
+    }
+  }
 }
