Take bytes that arrive together for one content

Cause: a content that arrives in two pieces gave a gap of nearly zero, which makes the expected gap shorter than the real one.

Change: content within 2 ms of the one before is not a further content.

Result: 215 tests of relay, transport and daemon pass.

--- a/org.cowslipyoke/src/main/java/org/cowslipyoke/relay/profile/LearnedEngineProfiles.java
+++ b/org.cowslipyoke/src/main/java/org/cowslipyoke/relay/profile/LearnedEngineProfiles.java
@@ -41,6 +41,12 @@
   /** One of so many gaps is learned from; a busy entry sees a thousand a second. */
   private static final int GAP_SAMPLING = 4;
 
+  /**
+   * Time in milliseconds within which bytes belong to the same content; below the shortest step of
+   * a data sheet.
+   */
+  private static final long SAME_CONTENT_MS = 2;
+
   /**
    * Part of an expected time that may be due to waits for memory, or to loading, for the time to
    * still be learned from.
@@ -177,7 +183,8 @@
     synchronized (this) {
       Run r = runs.get(a);
       ServiceModel model = r == null ? null : model(r.server.service());
-      if (r == null || model == null || !r.succeeds) {
+      boolean same = r != null && !first && nowMs - r.progress.lastMs() <= SAME_CONTENT_MS;
+      if (r == null || model == null || !r.succeeds || same) {
         return;
       }
       if (first) {
