Count the whole queue when servers are ordered

Change: the order of servers has the prefill of waiting tokens that don't delay the prompt as a cost; the expected time, by which prompts are refused, has not. Models are combined each 500 ms, profiles updated each 100 ms.

--- a/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/EstimateMetrics.java
+++ b/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/EstimateMetrics.java
@@ -27,7 +27,7 @@
     this.clock = clock;
     this.profiles = profiles;
     this.metrics = new RelayMetrics(meters);
-    this.errors = new EstimateErrors(clock.nowMs());
+    this.errors = new EstimateErrors();
   }
 
   @Override
--- a/org.cowslipyoke/src/main/java/org/cowslipyoke/relay/EngineProfile.java
+++ b/org.cowslipyoke/src/main/java/org/cowslipyoke/relay/EngineProfile.java
@@ -72,6 +72,15 @@
     return firstTokenOverheadMs + (tokens + delaying) * msPerToken(running);
   }
 
+  /**
+   * Returns the time by which waiting prompt tokens delay the streams at the engine, but not a
+   * further prompt, in milliseconds. Prefill lengthens the gaps of all streams, so an engine with a
+   * queue is worse than one without also for prompts that overtake the queue.
+   */
+  public double crowdingMs(long waiting, int running) {
+    return Math.max(0, waiting - queue.delayingTokens(waiting)) * msPerToken(running);
+  }
+
   /** Returns the profile of an engine that is slower by a factor, and slow by another one now. */
   public EngineProfile slower(double factor, double slowNow) {
     double f = factor * slowNow;
--- a/org.cowslipyoke/src/main/java/org/cowslipyoke/relay/PromptPlacement.java
+++ b/org.cowslipyoke/src/main/java/org/cowslipyoke/relay/PromptPlacement.java
@@ -195,7 +195,8 @@
     PromptWork work = PromptWork.of(p, salt, unread);
     Load load = context.load().loadAt(server);
     double expected = expectedMs(context, server, load, work) + fetched * fetchMsPerToken(context);
-    double cost = expected + penaltyMs(context, server, old) + RANK_MS * rank;
+    double crowding = profiles.of(server).crowdingMs(load.prefillTokens(), load.inFlight());
+    double cost = expected + crowding + penaltyMs(context, server, old) + RANK_MS * rank;
     return new ScoredServer(server, weights, salt, held, fetched, work, load, expected, cost);
   }
 
--- a/org.cowslipyoke/src/main/java/org/cowslipyoke/relay/profile/EstimateErrors.java
+++ b/org.cowslipyoke/src/main/java/org/cowslipyoke/relay/profile/EstimateErrors.java
@@ -44,14 +44,12 @@
   private final Map<String, Ratios> byService = new HashMap<>();
   private long startMs;
 
-  /** Creates an empty record. */
-  public EstimateErrors(long nowMs) {
-    this.startMs = nowMs;
-  }
-
   /** Records a time; returns the summaries of the interval if it is over, else an empty list. */
   public synchronized List<Summary> record(
       String service, double tookMs, double expectedMs, long nowMs) {
+    if (byService.isEmpty()) {
+      startMs = nowMs;
+    }
     Ratios r = byService.get(service);
     if (r == null && byService.size() < MAX_SERVICES) {
       r = new Ratios();
--- a/org.cowslipyoke/src/main/java/org/cowslipyoke/relay/profile/LearnedEngineProfiles.java
+++ b/org.cowslipyoke/src/main/java/org/cowslipyoke/relay/profile/LearnedEngineProfiles.java
@@ -24,10 +24,10 @@
 public final class LearnedEngineProfiles implements EngineProfiles, AttemptObserver {
 
   /** Interval in milliseconds at which the profiles in use are updated. */
-  private static final long UPDATE_MS = 50;
+  private static final long UPDATE_MS = 100;
 
   /** Interval in milliseconds at which models and lasting factors are combined. */
-  private static final long COMBINE_MS = 250;
+  private static final long COMBINE_MS = 500;
 
   /** Interval between updates from which this process was paused, in milliseconds. */
   private static final long PAUSE_MS = 300;
@@ -212,7 +212,9 @@
     if (!d.vm().equals(vm)) {
       boolean started = peers.accept(d);
       schedule.recordReceived(d.vm(), started, peers.names());
-      combinedMs = Math.min(combinedMs, clock.nowMs() - COMBINE_MS);
+      if (started) {
+        combinedMs = clock.nowMs() - COMBINE_MS;
+      }
     }
   }
 
@@ -295,14 +297,17 @@
       runs.values().forEach(r -> r.progress.excludePause(now));
     }
     updatedMs = now;
-    if (now - combinedMs >= COMBINE_MS) {
+    boolean combineNow = now - combinedMs >= COMBINE_MS;
+    if (combineNow) {
       combinedMs = now;
       combine();
     }
-    factors.updateSlowness(now, servers.values(), this::currentGapMs);
-    for (ServerEvidence s : servers.values()) {
-      EngineProfile p = byService.getOrDefault(s.service(), EngineProfile.INITIAL);
-      byIncarnation.put(s.incarnation(), p.slower(factors.lasting(s), factors.slowness(s)));
+    boolean slownessChanged = factors.updateSlowness(now, servers.values(), this::currentGapMs);
+    if (combineNow || slownessChanged) {
+      for (ServerEvidence s : servers.values()) {
+        EngineProfile p = byService.getOrDefault(s.service(), EngineProfile.INITIAL);
+        byIncarnation.put(s.incarnation(), p.slower(factors.lasting(s), factors.slowness(s)));
+      }
     }
   }
 
--- a/org.cowslipyoke/src/main/java/org/cowslipyoke/relay/profile/PeerProfiles.java
+++ b/org.cowslipyoke/src/main/java/org/cowslipyoke/relay/profile/PeerProfiles.java
@@ -79,9 +79,11 @@
 
   private final Clock clock;
   private final Map<String, Received> byVm = new HashMap<>();
+  private long expiredMs;
 
   PeerProfiles(Clock clock) {
     this.clock = clock;
+    this.expiredMs = clock.nowMs();
   }
 
   /** Stores a digest; returns whether its entry was not known in this run before. */
@@ -106,12 +108,6 @@
     return List.copyOf(byVm.keySet());
   }
 
-  /** Returns whether a fresh digest contains coefficients. */
-  boolean hasModels() {
-    expire();
-    return byVm.values().stream().anyMatch(r -> !r.digest().services().isEmpty());
-  }
-
   /** Returns the reported models of a service. */
   List<LearnedModel> models(String service) {
     expire();
@@ -149,6 +145,10 @@
 
   private void expire() {
     long now = clock.nowMs();
+    if (now == expiredMs) {
+      return;
+    }
+    expiredMs = now;
     byVm.values().removeIf(r -> now - r.atMs() > MAX_AGE_MS);
   }
 }
--- a/org.cowslipyoke/src/main/java/org/cowslipyoke/relay/profile/ServerEvidence.java
+++ b/org.cowslipyoke/src/main/java/org/cowslipyoke/relay/profile/ServerEvidence.java
@@ -1,12 +1,10 @@
 package org.cowslipyoke.relay.profile;
 
 import java.util.ArrayDeque;
-import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.Collections;
 import java.util.Deque;
 import java.util.IdentityHashMap;
-import java.util.List;
 import java.util.Set;
 import org.cowslipyoke.relay.BackendServer;
 
@@ -119,10 +117,19 @@
   /** Returns the real over the expected times of what runs or has just run at the server. */
   double[] paces(long nowMs, double gapMs) {
     ended.removeIf(r -> Double.isNaN(r.lastPace(nowMs)));
-    List<Double> all = new ArrayList<>(running.size() + ended.size());
-    running.forEach(r -> all.add(r.slowness(nowMs, gapMs)));
-    ended.forEach(r -> all.add(r.lastPace(nowMs)));
-    return all.stream().mapToDouble(x -> x).filter(x -> !Double.isNaN(x)).sorted().toArray();
+    double[] all = new double[running.size() + ended.size()];
+    int n = 0;
+    for (StreamProgress r : running) {
+      double pace = r.slowness(nowMs, gapMs);
+      all[n] = pace;
+      n += Double.isNaN(pace) ? 0 : 1;
+    }
+    for (StreamProgress r : ended) {
+      all[n++] = r.lastPace(nowMs);
+    }
+    double[] known = Arrays.copyOf(all, n);
+    Arrays.sort(known);
+    return known;
   }
 
   /**
--- a/org.cowslipyoke/src/main/java/org/cowslipyoke/relay/profile/ServerFactors.java
+++ b/org.cowslipyoke/src/main/java/org/cowslipyoke/relay/profile/ServerFactors.java
@@ -5,6 +5,7 @@
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -35,6 +36,8 @@
   /** Real over expected time of all servers up to which no common slowness is assumed. */
   private static final double MIN_COMMON = 1.2;
 
+  private static final double[] NO_PACES = {};
+
   private Map<Integer, Double> lasting = Map.of();
   private Map<Integer, Pooled> peers = Map.of();
   private final Set<Integer> reportedSlow = new HashSet<>();
@@ -83,18 +86,19 @@
 
   /**
    * Updates how slow servers are now. What makes all of them seem slow is taken for a slowness of
-   * this entry.
+   * this entry. Returns whether a factor has changed.
    *
    * @param gapMs expected gap between contents of a server in milliseconds, NaN if not known
    */
-  void updateSlowness(
+  boolean updateSlowness(
       long nowMs, Collection<ServerEvidence> servers, ToDoubleFunction<ServerEvidence> gapMs) {
-    Map<ServerEvidence, double[]> paces = new HashMap<>();
+    Map<ServerEvidence, double[]> paces = new LinkedHashMap<>();
+    boolean changed = false;
     List<Double> all = new ArrayList<>();
     int seen = 0;
     for (ServerEvidence s : servers) {
       if (s.isIdle()) {
-        s.update(nowMs, new double[0], 1);
+        s.update(nowMs, NO_PACES, 1);
       } else {
         double[] own = s.paces(nowMs, gapMs.applyAsDouble(s));
         paces.put(s, own);
@@ -111,9 +115,12 @@
     }
     for (Map.Entry<ServerEvidence, double[]> e : paces.entrySet()) {
       ServerEvidence s = e.getKey();
+      double before = s.slowness();
       s.update(nowMs, e.getValue(), common);
+      changed |= s.slowness() != before;
       newlySlow |= s.slowness() > ServerEvidence.SLOW && !reportedSlow.contains(s.key());
     }
+    return changed;
   }
 
   /** Returns the evidence to report, that on the servers with most of it first. */
