--- a/org.cowslipyoke/src/main/java/org/cowslipyoke/relay/profile/LearnedEngineProfiles.java
+++ b/org.cowslipyoke/src/main/java/org/cowslipyoke/relay/profile/LearnedEngineProfiles.java
@@ -24,10 +24,10 @@
 public final class LearnedEngineProfiles implements EngineProfiles, AttemptObserver {
 
   /** Interval in milliseconds at which the profiles in use are updated. */
-  private static final long UPDATE_MS = 50;
+  private static final long UPDATE_MS = 100;
 
   /** Interval in milliseconds at which models and lasting factors are combined. */
-  private static final long COMBINE_MS = 250;
+  private static final long COMBINE_MS = 500;
 
   /** Interval between updates from which this process was paused, in milliseconds. */
   private static final long PAUSE_MS = 300;
@@ -41,6 +41,12 @@
   /** One of so many gaps is learned from; a busy entry sees a thousand a second. */
   private static final int GAP_SAMPLING = 4;
 
+  /**
+   * Time in milliseconds within which bytes belong to the same content; below the shortest step of
+   * a data sheet.
+   */
+  private static final long SAME_CONTENT_MS = 2;
+
   /**
    * Part of an expected time that may be due to waits for memory, or to loading, for the time to
    * still be learned from.
@@ -177,7 +183,8 @@
     synchronized (this) {
       Run r = runs.get(a);
       ServiceModel model = r == null ? null : model(r.server.service());
-      if (r == null || model == null || !r.succeeds) {
+      boolean same = r != null && !first && nowMs - r.progress.lastMs() <= SAME_CONTENT_MS;
+      if (r == null || model == null || !r.succeeds || same) {
         return;
       }
       if (first) {
@@ -205,7 +212,9 @@
     if (!d.vm().equals(vm)) {
       boolean started = peers.accept(d);
       schedule.recordReceived(d.vm(), started, peers.names());
-      combinedMs = Math.min(combinedMs, clock.nowMs() - COMBINE_MS);
+      if (started) {
+        combinedMs = clock.nowMs() - COMBINE_MS;
+      }
     }
   }
 
@@ -288,14 +297,17 @@
       runs.values().forEach(r -> r.progress.excludePause(now));
     }
     updatedMs = now;
-    if (now - combinedMs >= COMBINE_MS) {
+    boolean combineNow = now - combinedMs >= COMBINE_MS;
+    if (combineNow) {
       combinedMs = now;
       combine();
     }
-    factors.updateSlowness(now, servers.values(), this::currentGapMs);
-    for (ServerEvidence s : servers.values()) {
-      EngineProfile p = byService.getOrDefault(s.service(), EngineProfile.INITIAL);
-      byIncarnation.put(s.incarnation(), p.slower(factors.lasting(s), factors.slowness(s)));
+    boolean slownessChanged = factors.updateSlowness(now, servers.values(), this::currentGapMs);
+    if (combineNow || slownessChanged) {
+      for (ServerEvidence s : servers.values()) {
+        EngineProfile p = byService.getOrDefault(s.service(), EngineProfile.INITIAL);
+        byIncarnation.put(s.incarnation(), p.slower(factors.lasting(s), factors.slowness(s)));
+      }
     }
   }
 
