--- a/org.cowslipyoke/src/main/java/org/cowslipyoke/relay/BackendServer.java
+++ b/org.cowslipyoke/src/main/java/org/cowslipyoke/relay/BackendServer.java
@@ -13,6 +13,7 @@
  * @param coldMs remaining cold-start time when the entry was read, in milliseconds
  * @param slots number of requests that it runs concurrently
  * @param weights weights version by model
+ * @param software version of the server's software, empty if the server does not state it
  */
 public record BackendServer(
     String id,
@@ -24,7 +25,23 @@
     boolean leaving,
     long coldMs,
     int slots,
-    Map<String, Integer> weights) {
+    Map<String, Integer> weights,
+    String software) {
+
+  /** Creates a server that does not state the version of its software. */
+  public BackendServer(
+      String id,
+      long startedMs,
+      String group,
+      String host,
+      int port,
+      String failureDomain,
+      boolean leaving,
+      long coldMs,
+      int slots,
+      Map<String, Integer> weights) {
+    this(id, startedMs, group, host, port, failureDomain, leaving, coldMs, slots, weights, "");
+  }
 
   /** Returns a name that is unique to this incarnation. */
   public String incarnation() {
