--- a/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/RelayExchange.java
+++ b/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/RelayExchange.java
@@ -346,17 +346,18 @@
     boolean mayRetry;
     synchronized (this) {
       mayRetry = run.mayRetryCurrentAttempt();
-      boolean mayContinue = run.mayContinueCurrentAttempt() && failover.isReady(this::isAllowed);
-      if (life.isEnded() || attempt == null || !(mayRetry || mayContinue)) {
+      if (life.isEnded() || attempt == null || !(mayRetry || run.mayContinueCurrentAttempt())) {
         return;
       }
       a = attempt;
     }
     List<BackendServer> servers = services.state().get().available(service);
-    boolean others = !mayRetry || servers.stream().anyMatch(s -> !run.hasTried(s));
-    if (others
-        && (failover.isLost(a.server())
-            || services.silentServers().isAttemptLost(servers, a.server(), a.idleMs()))) {
+    if (!failover.isLost(a.server())
+        && !services.silentServers().isAttemptLost(servers, a.server(), a.idleMs())) {
+      return;
+    }
+    boolean others = mayRetry && servers.stream().anyMatch(s -> !run.hasTried(s));
+    if (others || failover.isReady(this::isAllowed)) {
       a.leaveServer();
     }
   }
