Send reports to another failure domain once

Cause: each report of loads and each batch of cache events went to each other entry. With 29 entries in four failure domains 22 of 28 copies cross, which costs money and fills links of 7 to 10 Mbit/s.

Change: ReportFanout chooses an entry in each other failure domain that passes reports on there, once it has confirmed one; until then, and after it has failed to within 200 ms, each entry gets reports directly and a complete one replaces what was lost. Relayed reports have a versioned header that no earlier datagram begins with. Metrics count datagrams and bytes by kind, within and between failure domains.

Result: ReportFanoutTest in simulated time: one report of each of 29, 75 and 400 entries crosses in 174, 450 and 20,000 datagrams, confirmations included, instead of 630, 4,218 and 153,840. PeerReportRelayTest, PeerReportExchangeTest, StorePollerTest, CacheReadersTest and DecodersTest are green.

--- a/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/PeerReportExchange.java
+++ b/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/PeerReportExchange.java
@@ -15,6 +15,9 @@
 import java.util.stream.Collectors;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
+import org.cowslipyoke.daemon.relay.PeerTraffic.Kind;
+import org.cowslipyoke.refresh.ReportFanout;
+import org.cowslipyoke.refresh.ReportFanout.Peer;
 import org.cowslipyoke.refresh.TableConfirmation;
 import org.cowslipyoke.relay.CacheEventBatch;
 import org.cowslipyoke.relay.PeerLoads;
@@ -25,6 +28,7 @@
 import org.cowslipyoke.transport.CacheEventCodec;
 import org.cowslipyoke.transport.LoadReportCodec;
 import org.cowslipyoke.transport.PartReportCodec;
+import org.cowslipyoke.transport.RelayedReportCodec;
 import org.cowslipyoke.transport.SuspectReportCodec;
 import org.cowslipyoke.transport.TableConfirmationCodec;
 import org.cowslipyoke.util.Clock;
@@ -70,6 +74,8 @@
   private final PeerLoads received;
   private final CrashSuspects suspects;
   private final DatagramSocket socket;
+  private final ReportFanout fanout;
+  private final PeerTraffic traffic = new PeerTraffic();
   private volatile List<InetSocketAddress> peers = List.of();
   private volatile Set<InetAddress> known = Set.of();
   private volatile Consumer<TableConfirmation> onConfirmation = c -> {};
@@ -106,6 +112,7 @@
     this.loads = loads;
     this.received = received;
     this.suspects = suspects;
+    this.fanout = new ReportFanout(vm);
     try {
       this.socket = new DatagramSocket(own);
     } catch (IOException e) {
@@ -118,8 +125,27 @@
     return new InetSocketAddress(socket.getLocalAddress(), socket.getLocalPort());
   }
 
-  /** Replaces the entries to which reports are sent and from which reports are accepted. */
+  /** Returns the counters of the datagrams that are sent. */
+  public PeerTraffic traffic() {
+    return traffic;
+  }
+
+  /**
+   * Replaces the entries to which reports are sent and from which reports are accepted; their
+   * failure domains are not known, so that each gets its reports from this entry itself.
+   */
   public void setPeers(List<InetSocketAddress> addresses) {
+    setMembers("", addresses.stream().map(a -> new Peer(a.toString(), "", a)).toList());
+  }
+
+  /**
+   * Replaces the entries to which reports are sent and from which reports are accepted.
+   *
+   * @param ownDomain failure domain of this entry
+   */
+  public void setMembers(String ownDomain, List<Peer> members) {
+    List<InetSocketAddress> addresses = members.stream().map(Peer::address).toList();
+    fanout.setPeers(ownDomain, members);
     known =
         addresses.stream()
             .map(InetSocketAddress::getAddress)
@@ -148,7 +174,12 @@
   /** Passes cache events on; those that exceed a datagram are left to the entries to read. */
   public void shareCacheEvents(CacheEventBatch b, List<InetSocketAddress> to) {
     byte[] bytes = CacheEventCodec.encode(b);
-    String problem = bytes.length <= LoadReportCodec.MAX_BYTES ? sendTo(bytes, to) : "too large";
+    String problem = "too large";
+    if (bytes.length <= LoadReportCodec.MAX_BYTES) {
+      boolean all = to.size() == peers.size();
+      problem =
+          all ? fanOut(Kind.CACHE_EVENTS, bytes, false) : sendTo(Kind.CACHE_EVENTS, bytes, to);
+    }
     if (!problem.isEmpty()) {
       LOG.debug("cache events not sent: address={} reason={}", b.address(), problem);
     }
@@ -157,7 +188,7 @@
   /** Sends a confirmation to other entries at once, because their reads depend on it. */
   public void confirm(TableConfirmation c, List<InetSocketAddress> to) {
     byte[] bytes = TableConfirmationCodec.encode(new TableConfirmationCodec.Message(vm, c));
-    String problem = sendTo(bytes, to);
+    String problem = sendTo(Kind.TABLES, bytes, to);
     if (!problem.isEmpty()) {
       LOG.debug("confirmation not sent: table={} reason={}", c.table(), problem);
     }
@@ -175,6 +206,7 @@
     loads.setChangeListener(this::schedulePartial);
     repeat(timerThreads, COMPLETE_INTERVAL_MS, this::send);
     repeat(timerThreads, SUSPECT_INTERVAL_MS, this::sendSuspects);
+    repeat(timerThreads, SUSPECT_INTERVAL_MS, this::replaceLostReports);
     for (PeerReportChannel c : channels) {
       repeat(timerThreads, SUSPECT_INTERVAL_MS, () -> c.takeDue().forEach(this::sendToPeers));
     }
@@ -245,6 +277,13 @@
     }
   }
 
+  /** Replaces the reports that a relay has not confirmed by a complete one. */
+  private void replaceLostReports() {
+    if (fanout.expire(clock.nowMs())) {
+      send();
+    }
+  }
+
   private void sendSuspects() {
     suspects.nextReport().map(SuspectReportCodec::encode).ifPresent(this::sendToPeers);
     suspects.parts().nextReport().map(PartReportCodec::encode).ifPresent(this::sendToPeers);
@@ -252,18 +291,17 @@
 
   private void sendToPeers(byte[] bytes) {
     synchronized (sending) {
-      logProblem(sendTo(bytes, peers));
+      logProblem(sendTo(Kind.SUSPECTS, bytes, peers));
     }
   }
 
   private void sendLoads(Map<String, Load> report, boolean partial) {
-    List<InetSocketAddress> to = peers;
-    if (to.isEmpty()) {
+    if (peers.isEmpty()) {
       return;
     }
     sequence++;
     byte[] bytes = LoadReportCodec.encode(new Report(vm, startedMs, sequence, report, partial));
-    logProblem(sendTo(bytes, to));
+    logProblem(fanOut(Kind.LOADS, bytes, true));
   }
 
   private void logProblem(String problem) {
@@ -273,12 +311,25 @@
     }
   }
 
+  /** Sends a report to all entries, through a relay where one has confirmed. */
+  private String fanOut(Kind kind, byte[] bytes, boolean mayRepeat) {
+    ReportFanout.Plan plan = fanout.plan(clock.nowMs(), mayRepeat);
+    String problem = sendTo(kind, bytes, plan.direct());
+    for (ReportFanout.Relayed r : plan.relayed()) {
+      byte[] relayed = RelayedReportCodec.encode(r.token(), bytes);
+      String failed = sendTo(kind, relayed, List.of(r.address()));
+      problem = failed.isEmpty() ? problem : failed;
+    }
+    return problem;
+  }
+
   /** Returns the last error, empty if there was none. */
-  private String sendTo(byte[] bytes, List<InetSocketAddress> to) {
+  private String sendTo(Kind kind, byte[] bytes, List<InetSocketAddress> to) {
     String problem = "";
     for (InetSocketAddress peer : to) {
       try {
         socket.send(new DatagramPacket(bytes, bytes.length, peer));
+        traffic.record(kind, fanout.isOwnDomain(peer), bytes.length);
       } catch (IOException e) {
         problem = peer + " " + e.getMessage();
       }
@@ -287,13 +338,13 @@
   }
 
   private void receive() {
-    byte[] buffer = new byte[LoadReportCodec.MAX_BYTES];
+    byte[] buffer = new byte[LoadReportCodec.MAX_BYTES + RelayedReportCodec.HEADER_BYTES];
     while (!socket.isClosed()) {
       try {
         DatagramPacket packet = new DatagramPacket(buffer, buffer.length);
         socket.receive(packet);
         if (known.contains(packet.getAddress())) {
-          take(buffer, packet.getLength());
+          receive(buffer, packet);
         }
       } catch (MalformedResponseException e) {
         LOG.warn("report ignored: reason={}", e.getMessage());
@@ -308,6 +359,24 @@
     }
   }
 
+  private void receive(byte[] buffer, DatagramPacket packet) throws MalformedResponseException {
+    if (!RelayedReportCodec.isRelayed(buffer, packet.getLength())) {
+      take(buffer, packet.getLength());
+      return;
+    }
+    RelayedReportCodec.Message m = RelayedReportCodec.decode(buffer, packet.getLength());
+    if (m.confirmation()) {
+      fanout.confirm(m.token());
+      return;
+    }
+    sendTo(Kind.PASSED_ON, m.report(), fanout.ownDomain());
+    if (m.token() != 0 && packet.getSocketAddress() instanceof InetSocketAddress sender) {
+      byte[] confirmation = RelayedReportCodec.encodeConfirmation(m.token());
+      sendTo(Kind.CONFIRMATIONS, confirmation, List.of(sender));
+    }
+    take(m.report(), m.report().length);
+  }
+
   private void take(byte[] bytes, int length) throws MalformedResponseException {
     for (PeerReportChannel c : channels) {
       if (c.isReport(bytes, length)) {
