Probe fewer slow engines and estimate the copies of other entries

Change: the bound of an engine is its usual time between events plus three mean deviations, learned also from answered probes; half of the probes are kept for engines that are silent.

--- a/org.cowslipyoke.test/src/test/java/org/cowslipyoke/relay/RequestAttemptsTest.java
+++ b/org.cowslipyoke.test/src/test/java/org/cowslipyoke/relay/RequestAttemptsTest.java
@@ -104,4 +104,40 @@
         NextStep.AGAIN,
         attempts(RequestKind.IDEMPOTENT, false, 2).onAttemptEnd(AttemptEnd.FAILED, true, true));
   }
+
+  /** Guards against a stream that is lost although its run could go on from a copy. */
+  @Test
+  void brokenRunGoesOnFromItsCopyOnce() {
+    RequestAttempts r = attempts(RequestKind.STREAM, false, 3);
+    assertTrue(r.mayContinueCurrentAttempt());
+    assertEquals(NextStep.CONTINUE, r.onAttemptEnd(AttemptEnd.BROKEN, true, true, true));
+    r.recordAttempt(RelayFixture.server("s2", 1));
+    assertFalse(r.mayContinueCurrentAttempt());
+    assertEquals(NextStep.FAIL, r.onAttemptEnd(AttemptEnd.BROKEN, true, true, true));
+  }
+
+  /** Guards against a plain second run after the server with the copy refused the request. */
+  @Test
+  void refusedContinuationIsNotRunAgain() {
+    for (AttemptEnd end :
+        new AttemptEnd[] {AttemptEnd.REFUSED, AttemptEnd.MISDIRECTED, AttemptEnd.NOT_SENT}) {
+      RequestAttempts r = attempts(RequestKind.STREAM, false, 3);
+      assertEquals(NextStep.CONTINUE, r.onAttemptEnd(AttemptEnd.BROKEN, true, true, true));
+      r.recordAttempt(RelayFixture.server("s2", 1));
+      assertEquals(NextStep.FAIL, r.onAttemptEnd(end, true, true, true));
+      assertEquals(Outcome.UNKNOWN, r.finalFailure().outcome());
+    }
+  }
+
+  /** Guards against continuations beyond the retry budget or the deadline. */
+  @Test
+  void continuationNeedsBudgetAndTime() {
+    RequestAttempts r =
+        new RequestAttempts(RelayFixture.route(RequestKind.STREAM, false, 1), null, () -> false);
+    r.recordAttempt(RelayFixture.server("s1", 1));
+    assertEquals(NextStep.FAIL, r.onAttemptEnd(AttemptEnd.BROKEN, true, true, true));
+    assertEquals(
+        NextStep.FAIL,
+        attempts(RequestKind.STREAM, false, 1).onAttemptEnd(AttemptEnd.BROKEN, true, true, false));
+  }
 }
--- a/org.cowslipyoke/src/main/java/org/cowslipyoke/failover/BackupPlanner.java
+++ b/org.cowslipyoke/src/main/java/org/cowslipyoke/failover/BackupPlanner.java
@@ -154,13 +154,15 @@
   }
 
   /**
-   * Returns the fraction of a server's memory that is in use with a further copy. The copies of
-   * other entries are estimated by those of this one.
+   * Returns the fraction of a server's memory that is in use with a further copy. Each other entry
+   * is assumed to have as many copies as this one, spread evenly.
    */
   private double usedFraction(
       BackendServer s, FleetState state, ServerGroup.EngineConfig engine, long tokens) {
     long resident = loads.of(s).residentTokens() + peers.loadAt(s).residentTokens();
-    long copied = copies.tokensAt(s.incarnation()) * state.entries();
+    long others =
+        copies.totalTokens() * (state.entries() - 1) / Math.max(1, state.servers().size());
+    long copied = copies.tokensAt(s.incarnation()) + others;
     return (double) (resident + copied + tokens) / Math.max(1, engine.cacheTokens());
   }
 
--- a/org.cowslipyoke/src/main/java/org/cowslipyoke/failover/EngineLiveness.java
+++ b/org.cowslipyoke/src/main/java/org/cowslipyoke/failover/EngineLiveness.java
@@ -53,10 +53,13 @@
   static final long MAX_TICK_MS = 60;
 
   /** Probes per second and their burst, as each is priced. */
-  static final double PROBES_PER_S = 15;
+  static final double PROBES_PER_S = 10;
 
   static final double PROBE_BURST = 40;
 
+  /** Probes kept for engines that have not answered one or that another entry has found lost. */
+  static final double RESERVED_PROBES = 20;
+
   /** Time after which an engine without attempts is forgotten, in milliseconds. */
   static final long FORGET_MS = 5_000;
 
@@ -109,7 +112,7 @@
 
   /** Records that a server answered a probe. */
   public synchronized void probeAnswered(BackendServer server) {
-    watch(server).heard(clock.nowMs());
+    watch(server).probeAnswered(clock.nowMs());
   }
 
   /**
@@ -243,7 +246,8 @@
   }
 
   private void probe(EngineWatch w, long now, List<BackendServer> probes) {
-    if (probeTokens < 1) {
+    boolean urgent = w.probes > 0 || isPeerReported(w, now);
+    if (probeTokens < (urgent ? 1 : 1 + RESERVED_PROBES)) {
       return;
     }
     probeTokens--;
--- a/org.cowslipyoke/src/main/java/org/cowslipyoke/failover/EngineWatch.java
+++ b/org.cowslipyoke/src/main/java/org/cowslipyoke/failover/EngineWatch.java
@@ -13,8 +13,8 @@
   /** Largest such fraction, for engines whose events are usually that far apart. */
   static final double MAX_QUIET_FRACTION = 0.6;
 
-  /** Factor over the usual time between events up to which an engine is not suspicious. */
-  static final double PACE_FACTOR = 1.3;
+  /** Number of mean deviations over the usual time between events that is not suspicious. */
+  static final double PACE_DEVIATIONS = 3;
 
   /** Pause target assumed for routes without one, in milliseconds. */
   static final long DEFAULT_GAP_MS = 500;
@@ -46,6 +46,7 @@
   final BackendServer server;
   private final IdentityHashMap<Attempt, Stream> streams = new IdentityHashMap<>();
   private double paceMs;
+  private double deviationMs;
 
   /** Time of the last sign of life. */
   long heardMs;
@@ -81,14 +82,30 @@
     Stream s = streams.get(a);
     if (s != null) {
       if (s.contentMs >= 0) {
-        double gap = nowMs - s.contentMs;
-        paceMs = paceMs == 0 ? gap : paceMs + PACE_WEIGHT * (gap - paceMs);
+        recordGap(nowMs - s.contentMs);
       }
       s.contentMs = nowMs;
     }
     heard(nowMs);
   }
 
+  /** Records a sign of life other than content, which shows that the engine is slow now. */
+  void probeAnswered(long nowMs) {
+    if (probes > 0 && !lost && paceMs > 0) {
+      recordGap(Math.min(DEFAULT_GAP_MS, nowMs - heardMs));
+    }
+    heard(nowMs);
+  }
+
+  private void recordGap(long gapMs) {
+    if (paceMs == 0) {
+      paceMs = gapMs;
+    } else {
+      deviationMs += PACE_WEIGHT * (Math.abs(gapMs - paceMs) - deviationMs);
+      paceMs += PACE_WEIGHT * (gapMs - paceMs);
+    }
+  }
+
   void heard(long nowMs) {
     heardMs = Math.max(heardMs, nowMs);
     probes = 0;
@@ -112,7 +129,7 @@
   }
 
   private double quietMs(Stream s) {
-    double bound = Math.max(QUIET_FRACTION * s.gapMs, PACE_FACTOR * paceMs);
+    double bound = Math.max(QUIET_FRACTION * s.gapMs, paceMs + PACE_DEVIATIONS * deviationMs);
     return Math.min(bound, MAX_QUIET_FRACTION * s.gapMs);
   }
 
