Keep loads apart by urgency in the time to the first token

Loads, own and reported, are now kept by four ranks of urgency; a prompt waits for work of its own rank and above and for one chunk of other work. Reports have a new format; the earlier one still decodes, as load that delays requests of every rank.

--- a/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/RelayExchange.java
+++ b/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/RelayExchange.java
@@ -28,6 +28,7 @@
 import org.cowslipyoke.relay.RequestKind;
 import org.cowslipyoke.relay.Route;
 import org.cowslipyoke.relay.ServerGroup;
+import org.cowslipyoke.relay.UrgencyRank;
 import org.cowslipyoke.relay.WeightTarget;
 import org.jspecify.annotations.Nullable;
 
@@ -207,7 +208,15 @@
           s.filter(x -> tryAcquireCold(state, group, x)).orElse(null), null, none);
     }
     Optional<PromptPlan> plan =
-        services.prompts().choose(request.prompt(), organisation(), state, group, candidates);
+        services
+            .prompts()
+            .choose(
+                request.prompt(),
+                UrgencyRank.of(admitted.priority()),
+                organisation(),
+                state,
+                group,
+                candidates);
     if (plan.isEmpty()) {
       return new PlacementResult(null, null, none);
     }
--- a/org.cowslipyoke.test/src/test/java/org/cowslipyoke/transport/LoadReportCodecTest.java
+++ b/org.cowslipyoke.test/src/test/java/org/cowslipyoke/transport/LoadReportCodecTest.java
@@ -1,5 +1,6 @@
 package org.cowslipyoke.transport;
 
+import static java.util.Objects.requireNonNull;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertThrows;
@@ -7,9 +8,11 @@
 
 import java.util.Arrays;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Random;
 import org.cowslipyoke.relay.PeerLoads.Load;
+import org.cowslipyoke.relay.PeerLoads.RankLoad;
 import org.cowslipyoke.relay.PeerLoads.Report;
 import org.cowslipyoke.util.MalformedResponseException;
 import org.junit.jupiter.api.Test;
@@ -23,6 +26,12 @@
   void reportsSurviveTheirDatagram() throws Exception {
     byte[] bytes = LoadReportCodec.encode(REPORT);
     assertEquals(REPORT, LoadReportCodec.decode(bytes, bytes.length));
+    Load ranked =
+        new Load(
+            List.of(RankLoad.NONE, new RankLoad(1, 2, 3), RankLoad.NONE, new RankLoad(4, 5, 6)));
+    Report ranks = new Report("e1", 5, 7, Map.of("s1@1", ranked));
+    byte[] ranksBytes = LoadReportCodec.encode(ranks);
+    assertEquals(ranks, LoadReportCodec.decode(ranksBytes, ranksBytes.length));
     Report partial = new Report("e1", 5, 8, Map.of("s1@1", Load.NONE), true);
     byte[] partialBytes = LoadReportCodec.encode(partial);
     assertEquals(partial, LoadReportCodec.decode(partialBytes, partialBytes.length));
@@ -43,6 +52,34 @@
     assertFalse(r.loads().containsKey("i-0123456789@1767844358695-0"));
   }
 
+  /** Guards against a datagram that loads of several ranks make too large. */
+  @Test
+  void largestReportOfAllRanksFits() throws Exception {
+    Map<String, Load> loads = new HashMap<>();
+    RankLoad rank = new RankLoad(100, Integer.MAX_VALUE, 70_000);
+    for (int i = 0; i < 400; i++) {
+      loads.put("i-0123456789@1767844358695-" + i, new Load(List.of(rank, rank, rank, rank)));
+    }
+    byte[] bytes = LoadReportCodec.encode(new Report("entry", 1, 1, loads));
+    assertTrue(bytes.length <= LoadReportCodec.MAX_BYTES, bytes.length + " bytes");
+    assertTrue(LoadReportCodec.decode(bytes, bytes.length).loads().size() > 100);
+  }
+
+  /** Guards against ignoring entries that still run the version before ranks of urgency. */
+  @Test
+  void unrankedReportDelaysRequestsOfEveryRank() throws Exception {
+    byte[] earlier =
+        Datagrams.encode(
+            p -> {
+              p.packArrayHeader(5).packInt(2).packString("e1").packLong(5).packLong(7);
+              p.packMapHeader(1).packString("s1@1");
+              p.packArrayHeader(3).packInt(3).packLong(9_000).packLong(40_000);
+            });
+    Report decoded = LoadReportCodec.decode(earlier, earlier.length);
+    assertEquals(new Report("e1", 5, 7, REPORT.loads(), true), decoded);
+    assertEquals(9_000, requireNonNull(decoded.loads().get("s1@1")).upTo(0).prefillTokens());
+  }
+
   /** Guards against a receiver that ends because of bytes that are no report. */
   @Test
   void otherBytesAreMalformed() {
--- a/org.cowslipyoke/src/main/java/org/cowslipyoke/relay/EngineLatencyModel.java
+++ b/org.cowslipyoke/src/main/java/org/cowslipyoke/relay/EngineLatencyModel.java
@@ -19,6 +19,19 @@
 
   private EngineLatencyModel() {}
 
+  /**
+   * Returns the number of prompt tokens that an engine prefills before a new prompt: those of
+   * prompts that are as urgent or more, and at most one chunk of others, whose step has begun.
+   *
+   * @param load load of the engine without the prompt
+   * @param rank {@link UrgencyRank} of the prompt
+   */
+  static long prefillTokensAhead(Load load, int rank, EngineProfile profile) {
+    long ahead = load.upTo(rank).prefillTokens();
+    long others = load.prefillTokens() - ahead;
+    return ahead + Math.min(others, Math.round(profile.chunkTokens()));
+  }
+
   /**
    * Returns the time until running requests have freed enough memory for another one, in
    * milliseconds.
--- a/org.cowslipyoke/src/main/java/org/cowslipyoke/relay/FleetLoad.java
+++ b/org.cowslipyoke/src/main/java/org/cowslipyoke/relay/FleetLoad.java
@@ -34,12 +34,7 @@
     for (BackendServer s : servers) {
       sum = sum.plus(own.of(s).snapshot());
     }
-    double part = (double) silent / servers.size();
-    Load each =
-        new Load(
-            (int) Math.round(sum.inFlight() * part),
-            Math.round(sum.prefillTokens() * part),
-            Math.round(sum.residentTokens() * part));
+    Load each = sum.times((double) silent / servers.size());
     return new FleetLoad(own, peers, each);
   }
 
--- a/org.cowslipyoke/src/main/java/org/cowslipyoke/relay/PeerLoads.java
+++ b/org.cowslipyoke/src/main/java/org/cowslipyoke/relay/PeerLoads.java
@@ -1,8 +1,10 @@
 package org.cowslipyoke.relay;
 
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.BiFunction;
 import org.cowslipyoke.util.Clock;
 
 /**
@@ -23,31 +25,92 @@
   private static final int MAX_PEERS = 1_024;
 
   /**
-   * Load of one server.
+   * Load that requests of one rank of urgency put on a server.
    *
    * @param inFlight requests in flight
    * @param prefillTokens prompt tokens that the server still has to prefill
    * @param residentTokens tokens of the requests in the server's memory
    */
-  public record Load(int inFlight, long prefillTokens, long residentTokens) {
+  public record RankLoad(int inFlight, long prefillTokens, long residentTokens) {
+
+    /** No load. */
+    public static final RankLoad NONE = new RankLoad(0, 0, 0);
+
+    private RankLoad plus(RankLoad o, int sign) {
+      return new RankLoad(
+          inFlight + sign * o.inFlight,
+          prefillTokens + sign * o.prefillTokens,
+          residentTokens + sign * o.residentTokens);
+    }
+  }
+
+  /**
+   * Load of one server.
+   *
+   * @param ranks load by {@link UrgencyRank}, the most urgent first
+   */
+  public record Load(List<RankLoad> ranks) {
 
     /** The load of an idle server. */
     public static final Load NONE = new Load(0, 0, 0);
 
+    /** Creates a load of unknown urgency, which delays requests of every rank. */
+    public Load(int inFlight, long prefillTokens, long residentTokens) {
+      this(
+          List.of(
+              new RankLoad(inFlight, prefillTokens, residentTokens),
+              RankLoad.NONE,
+              RankLoad.NONE,
+              RankLoad.NONE));
+    }
+
+    /** Returns the number of requests in flight. */
+    public int inFlight() {
+      return ranks.stream().mapToInt(RankLoad::inFlight).sum();
+    }
+
+    /** Returns the number of prompt tokens that the server still has to prefill. */
+    public long prefillTokens() {
+      return ranks.stream().mapToLong(RankLoad::prefillTokens).sum();
+    }
+
+    /** Returns the number of tokens of the requests in the server's memory. */
+    public long residentTokens() {
+      return ranks.stream().mapToLong(RankLoad::residentTokens).sum();
+    }
+
+    /** Returns the load of requests that are as urgent as a rank or more. */
+    public Load upTo(int rank) {
+      return combine((r, l) -> r <= rank ? l : RankLoad.NONE);
+    }
+
     /** Returns the sum of two loads. */
     public Load plus(Load o) {
-      return new Load(
-          inFlight + o.inFlight,
-          prefillTokens + o.prefillTokens,
-          residentTokens + o.residentTokens);
+      return combine((r, l) -> l.plus(o.ranks.get(r), 1));
     }
 
     /** Returns the difference of two loads. */
     Load minus(Load o) {
+      return combine((r, l) -> l.plus(o.ranks.get(r), -1));
+    }
+
+    /** Returns a multiple of the load, rounded to whole requests and tokens. */
+    Load times(double factor) {
+      return combine(
+          (r, l) ->
+              new RankLoad(
+                  (int) Math.round(l.inFlight * factor),
+                  Math.round(l.prefillTokens * factor),
+                  Math.round(l.residentTokens * factor)));
+    }
+
+    private Load combine(BiFunction<Integer, RankLoad, RankLoad> f) {
       return new Load(
-          inFlight - o.inFlight,
-          prefillTokens - o.prefillTokens,
-          residentTokens - o.residentTokens);
+          List.of(
+              f.apply(0, ranks.get(0)),
+              f.apply(1, ranks.get(1)),
+              f.apply(2, ranks.get(2)),
+              f.apply(3, ranks.get(3))));
     }
   }
 
--- a/org.cowslipyoke/src/main/java/org/cowslipyoke/relay/PromptPlacement.java
+++ b/org.cowslipyoke/src/main/java/org/cowslipyoke/relay/PromptPlacement.java
@@ -99,6 +99,7 @@
   /** Inputs of the placement of one prompt. */
   private record PlacementContext(
       Prompt prompt,
+      int rank,
       @Nullable String organisation,
       CacheIsolation isolation,
       FleetState state,
@@ -127,13 +128,25 @@
       double expectedMs,
       double costMs) {}
 
+  /** Chooses a server for a prompt of the most urgent rank. */
+  public Optional<PromptPlan> choose(
+      Prompt p,
+      @Nullable String organisation,
+      FleetState state,
+      ServerGroup group,
+      List<BackendServer> candidates) {
+    return choose(p, UrgencyRank.MOST_URGENT, organisation, state, group, candidates);
+  }
+
   /**
    * Chooses a server; returns empty if no candidate has weights that may be used.
    *
+   * @param rank {@link UrgencyRank} of the prompt
    * @param organisation owner of the prompt, null on an open route
    */
   public Optional<PromptPlan> choose(
       Prompt p,
+      int rank,
       @Nullable String organisation,
       FleetState state,
       ServerGroup group,
@@ -147,6 +160,7 @@
     PlacementContext context =
         new PlacementContext(
             p,
+            rank,
             organisation,
             state.desired() == null ? CacheIsolation.NONE : state.desired().isolation(),
             state,
@@ -157,8 +171,8 @@
             managedStores(state, group),
             new HashMap<>());
     ScoredServer best = null;
-    for (int rank = 0; rank < order.size(); rank++) {
-      ScoredServer o = score(context, order.get(rank), rank);
+    for (int i = 0; i < order.size(); i++) {
+      ScoredServer o = score(context, order.get(i), i);
       if (o != null && (best == null || o.costMs() < best.costMs())) {
         best = o;
       }
@@ -177,7 +191,8 @@
         .toList();
   }
 
-  private @Nullable ScoredServer score(PlacementContext context, BackendServer server, int rank) {
+  private @Nullable ScoredServer score(
+      PlacementContext context, BackendServer server, int position) {
     Prompt p = context.prompt();
     int weights = loads.weights(server, p.model());
     if (weights == 0) {
@@ -192,10 +207,10 @@
     CachedPrefix held = transfers.cachedPrefix(server, salt, p);
     int fetched = fetchableTokens(context, salt, held);
     int unread = Math.max(1, p.promptTokens() - held.tokens() - fetched);
-    PromptWork work = PromptWork.of(p, salt, unread);
+    PromptWork work = PromptWork.of(context.rank(), p, salt, unread);
     Load load = context.load().loadAt(server);
     double expected = expectedMs(context, server, load, work) + fetched * fetchMsPerToken(context);
-    double cost = expected + penaltyMs(context, server, old) + RANK_MS * rank;
+    double cost = expected + penaltyMs(context, server, old) + RANK_MS * position;
     return new ScoredServer(server, weights, salt, held, fetched, work, load, expected, cost);
   }
 
@@ -205,8 +220,9 @@
     ServerLoad own = loads.of(server);
     EngineProfile profile = profiles.of(server);
     double expected = profile.firstTokenOverheadMs();
-    expected += profile.prefillMs(load.prefillTokens() + work.prefillTokens(), load.inFlight());
-    expected += memoryWaitMs(context, load, own.addedTokens(work));
+    long tokens = EngineLatencyModel.prefillTokensAhead(load, work.rank(), profile);
+    expected += profile.prefillMs(tokens + work.prefillTokens(), load.inFlight());
+    expected += memoryWaitMs(context, load.upTo(work.rank()), own.addedTokens(work));
     expected += own.isLoading() ? LOADING_MS : 0;
     expected += isUnresponsive(context, server) ? UNRESPONSIVE_MS : 0;
     return expected;
--- a/org.cowslipyoke/src/main/java/org/cowslipyoke/relay/ServerLoad.java
+++ b/org.cowslipyoke/src/main/java/org/cowslipyoke/relay/ServerLoad.java
@@ -1,9 +1,12 @@
 package org.cowslipyoke.relay;
 
+import java.util.Arrays;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.function.Consumer;
 import org.cowslipyoke.relay.PeerLoads.Load;
+import org.cowslipyoke.relay.PeerLoads.RankLoad;
 import org.cowslipyoke.util.Clock;
 
 /** Load that this process puts on one incarnation of a server, and the server's recent failures. */
@@ -33,10 +36,13 @@
   private final Clock clock;
   private final Consumer<Boolean> onPromptChange;
   private int weights;
-  private int inFlight;
-  private long prefillTokens;
-  private long residentTokens;
-  private final Map<CacheContents.Key, Integer> users = new HashMap<>();
+  private final int[] inFlight = new int[UrgencyRank.COUNT];
+  private final long[] prefillTokens = new long[UrgencyRank.COUNT];
+  private final long[] residentTokens = new long[UrgencyRank.COUNT];
+
+  /** Number of running requests by rank that have a part in memory. */
+  private final Map<CacheContents.Key, int[]> users = new HashMap<>();
+
   private double failures;
   private long failuresMs;
   private long fullUntilMs;
@@ -60,11 +66,11 @@
   /** Records the start of a request. */
   public void recordStart(PromptWork work) {
     synchronized (this) {
-      residentTokens += addedTokens(work);
-      inFlight++;
-      prefillTokens += work.prefillTokens();
+      inFlight[work.rank()]++;
+      prefillTokens[work.rank()] += work.prefillTokens();
+      residentTokens[work.rank()] += work.unsharedTokens();
       for (PromptWork.SharedPart s : work.shared()) {
-        users.merge(s.key(), 1, Integer::sum);
+        countUser(s, work.rank(), 1);
       }
     }
     reportChange(work, work.prefillTokens() >= URGENT_TOKENS);
@@ -76,6 +82,31 @@
     }
   }
 
+  /** Counts users of a part; its tokens are resident for its most urgent user. */
+  private void countUser(PromptWork.SharedPart part, int rank, int change) {
+    int[] counts = users.computeIfAbsent(part.key(), k -> new int[UrgencyRank.COUNT]);
+    int before = firstUsed(counts);
+    counts[rank] = Math.max(0, counts[rank] + change);
+    int after = firstUsed(counts);
+    if (before != after && before < UrgencyRank.COUNT) {
+      residentTokens[before] = Math.max(0, residentTokens[before] - part.tokens());
+    }
+    if (before != after && after < UrgencyRank.COUNT) {
+      residentTokens[after] += part.tokens();
+    }
+    if (after == UrgencyRank.COUNT) {
+      users.remove(part.key());
+    }
+  }
+
+  private static int firstUsed(int[] counts) {
+    int rank = 0;
+    while (rank < counts.length && counts[rank] == 0) {
+      rank++;
+    }
+    return rank;
+  }
+
   /** Returns the number of tokens that a request would add to the server's memory. */
   synchronized long addedTokens(PromptWork work) {
     long added = work.unsharedTokens();
@@ -88,7 +119,8 @@
   /** Records that the server has prefilled the prompt and started to answer. */
   public void recordPrefillEnd(PromptWork work) {
     synchronized (this) {
-      prefillTokens = Math.max(0, prefillTokens - work.prefillTokens());
+      int r = work.rank();
+      prefillTokens[r] = Math.max(0, prefillTokens[r] - work.prefillTokens());
     }
     reportChange(work, false);
   }
@@ -96,13 +128,12 @@
   /** Records the end of a request. */
   public void recordEnd(PromptWork work) {
     synchronized (this) {
-      inFlight = Math.max(0, inFlight - 1);
-      long freed = work.unsharedTokens();
+      int r = work.rank();
+      inFlight[r] = Math.max(0, inFlight[r] - 1);
+      residentTokens[r] = Math.max(0, residentTokens[r] - work.unsharedTokens());
       for (PromptWork.SharedPart s : work.shared()) {
-        Integer left = users.computeIfPresent(s.key(), (k, n) -> n > 1 ? n - 1 : null);
-        freed += left == null ? s.tokens() : 0;
+        countUser(s, r, -1);
       }
-      residentTokens = Math.max(0, residentTokens - freed);
     }
     reportChange(work, false);
   }
@@ -164,24 +195,28 @@
 
   /** Returns the current load of the server from this process. */
   synchronized Load snapshot() {
-    return new Load(inFlight, prefillTokens, residentTokens);
+    return new Load(List.of(rankLoad(0), rankLoad(1), rankLoad(2), rankLoad(3)));
+  }
+
+  private RankLoad rankLoad(int rank) {
+    return new RankLoad(inFlight[rank], prefillTokens[rank], residentTokens[rank]);
   }
 
   /** Returns the number of requests in flight. */
   public synchronized int inFlight() {
-    return inFlight;
+    return Arrays.stream(inFlight).sum();
   }
 
   /** Returns the number of prompt tokens that the server still has to prefill for this process. */
   public synchronized long prefillTokens() {
-    return prefillTokens;
+    return Arrays.stream(prefillTokens).sum();
   }
 
   /**
    * Returns the number of tokens that the requests of this process occupy in the server's memory.
    */
   public synchronized long residentTokens() {
-    return residentTokens;
+    return Arrays.stream(residentTokens).sum();
   }
 
   /**
