Decide on prompts by urgency, organisation and time left

The load shedder knew one limit: a prompt was refused if its first event was expected after its objective. Long prompts of the least urgent kind, whose objective is longer, then set the length of the queue, and the urgent short ones were refused. If the priority of an organisation overrides those of its routes, both kinds had the same one.

PromptAdmission lets a prompt run, wait at the entry or be refused. Room is kept at each engine for more urgent demand, organisations that have used up their max-min share leave the last quarter of the objective to others, late prompts run while engines are idle, and what can't be answered while its caller waits is refused at once. Waiting prompts are bounded in number, bytes and time and tried every 20 ms by rank, then those in time, then by deadline. Ranks include the objective of the route, and engines get the rank as priority.

--- a/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/Relay.java
+++ b/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/Relay.java
@@ -15,7 +15,10 @@
 import org.cowslipyoke.relay.CacheTransferPlanner;
 import org.cowslipyoke.relay.ColdStartLimiter;
 import org.cowslipyoke.relay.FleetStateHolder;
+import org.cowslipyoke.relay.OrganisationShares;
 import org.cowslipyoke.relay.PeerLoads;
+import org.cowslipyoke.relay.PromptAdmission;
+import org.cowslipyoke.relay.PromptDemand;
 import org.cowslipyoke.relay.PromptPlacement;
 import org.cowslipyoke.relay.ServerLoads;
 import org.cowslipyoke.relay.ServicePlacement;
@@ -140,6 +143,8 @@
     meters.gauge("cowslipyoke_relay_connections", client, HttpConnector::openConnections);
     client.setUserAgentField(null);
     client.setDefaultRequestContentType(null);
+    WaitingPrompts waiting = new WaitingPrompts(clock, meters);
+    waiting.start(timers);
     RelayContext services =
         new RelayContext(
             clock,
@@ -148,16 +153,8 @@
             dialect,
             state,
             new Admission(state, o.keyMaxAgeMs()),
-            new PromptPlacement(
-                clock,
-                o.failureDomain(),
-                loads,
-                peers,
-                caches,
-                new CacheTransferPlanner(caches),
-                extensions.profiles(),
-                extensions.crossing(),
-                o.oldWeightsMaxMs()),
+            promptAdmission(o, clock, loads, peers, caches, random, extensions),
+            waiting,
             new ServicePlacement(loads, o.failureDomain(), extensions.crossing(), random),
             loads,
             new ColdStartLimiter(clock),
@@ -177,6 +174,29 @@
     server.setHandler(handler);
   }
 
+  private static PromptAdmission promptAdmission(
+      Options o,
+      Clock clock,
+      ServerLoads loads,
+      PeerLoads peers,
+      CacheDirectory caches,
+      RandomGenerator random,
+      RelayExtensions extensions) {
+    PromptPlacement placement =
+        new PromptPlacement(
+            clock,
+            o.failureDomain(),
+            loads,
+            peers,
+            caches,
+            new CacheTransferPlanner(caches),
+            extensions.profiles(),
+            extensions.crossing(),
+            o.oldWeightsMaxMs());
+    return new PromptAdmission(
+        placement, new PromptDemand(clock), new OrganisationShares(clock), random);
+  }
+
   /**
    * Starts listening.
    *
--- a/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/RelayContext.java
+++ b/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/RelayContext.java
@@ -5,7 +5,7 @@
 import org.cowslipyoke.relay.Admission;
 import org.cowslipyoke.relay.ColdStartLimiter;
 import org.cowslipyoke.relay.FleetStateHolder;
-import org.cowslipyoke.relay.PromptPlacement;
+import org.cowslipyoke.relay.PromptAdmission;
 import org.cowslipyoke.relay.ServerLoads;
 import org.cowslipyoke.relay.ServicePlacement;
 import org.cowslipyoke.relay.ServiceRetryBudget;
@@ -22,7 +22,8 @@
     RelayDialect dialect,
     FleetStateHolder state,
     Admission admission,
-    PromptPlacement prompts,
+    PromptAdmission prompts,
+    WaitingPrompts waiting,
     ServicePlacement services,
     ServerLoads loads,
     ColdStartLimiter cold,
--- /dev/null
+++ b/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/RequestPlacement.java
@@ -0,0 +1,171 @@
+package org.cowslipyoke.daemon.relay;
+
+import java.util.List;
+import java.util.Optional;
+import org.cowslipyoke.errors.ErrorKind;
+import org.cowslipyoke.errors.Failure;
+import org.cowslipyoke.relay.Admission.AdmittedRequest;
+import org.cowslipyoke.relay.AdmissionQueue.Attempt;
+import org.cowslipyoke.relay.AdmissionQueue.Position;
+import org.cowslipyoke.relay.BackendServer;
+import org.cowslipyoke.relay.CandidateFilter;
+import org.cowslipyoke.relay.CandidateFilter.Placed;
+import org.cowslipyoke.relay.CandidateFilter.Remaining;
+import org.cowslipyoke.relay.FleetState;
+import org.cowslipyoke.relay.OrganisationPolicy;
+import org.cowslipyoke.relay.Prompt;
+import org.cowslipyoke.relay.PromptAdmission;
+import org.cowslipyoke.relay.PromptAdmission.Applicant;
+import org.cowslipyoke.relay.PromptAdmission.Reason;
+import org.cowslipyoke.relay.PromptAdmission.Verdict;
+import org.cowslipyoke.relay.PromptPlan;
+import org.cowslipyoke.relay.RelayRequest;
+import org.cowslipyoke.relay.RequestAttempts;
+import org.cowslipyoke.relay.ServerGroup;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Placement of one request: the servers that it may be sent to and the decision among them.
+ *
+ * @param rank {@link UrgencyRank} of the request
+ * @param startMs time at which the request arrived, in monotonic milliseconds
+ * @param endMs its deadline in monotonic milliseconds
+ */
+record RequestPlacement(
+    RelayContext services,
+    RelayRequest request,
+    AdmittedRequest admitted,
+    String service,
+    int rank,
+    RequestAttempts run,
+    long startMs,
+    long endMs) {
+
+  /**
+   * Result of the placement; a request without a server and without a refusal waits.
+   *
+   * @param attempt what becomes of the request if it waits
+   */
+  record Result(
+      @Nullable BackendServer server,
+      @Nullable PromptPlan plan,
+      @Nullable Failure refusal,
+      Attempt attempt) {
+
+    static Result refused(Failure f) {
+      return new Result(null, null, f, Attempt.SETTLED);
+    }
+  }
+
+  @Nullable String organisation() {
+    OrganisationPolicy t = admitted.tenancy();
+    return t == null ? null : t.organisation();
+  }
+
+  /** Records that the request has arrived. */
+  void recordArrival() {
+    services.repeats().recordRequest(service);
+    if (request.prompt() != null) {
+      services.prompts().recordArrival(applicant(request.prompt(), false));
+    }
+  }
+
+  /** Returns the place of the request among those that wait. */
+  Position waitingPosition(long bytes) {
+    double objectiveMs = PromptAdmission.objectiveMs(admitted.route(), endMs - startMs);
+    return new Position(
+        service, rank, organisation(), startMs + Math.round(objectiveMs), endMs, bytes);
+  }
+
+  /** Returns the priority that servers get. */
+  int priorityAtServer() {
+    return request.prompt() == null ? admitted.priority() : rank;
+  }
+
+  /**
+   * Decides on the request now.
+   *
+   * @param waiting whether the request has waited for room
+   */
+  Result place(boolean waiting) {
+    FleetState state = services.state().get();
+    Failure none = new Failure(ErrorKind.NO_SERVER, "no server is available", 200);
+    ServerGroup group = admitted.desired().groups().get(service);
+    if (group == null) {
+      return Result.refused(none);
+    }
+    Remaining remaining = candidates(state, group);
+    List<BackendServer> candidates = remaining.servers();
+    if (candidates.isEmpty() && remaining.retryAfterMs() > 0) {
+      none = new Failure(ErrorKind.NO_SERVER, "no server is available", remaining.retryAfterMs());
+    }
+    if (request.prompt() == null || group.engine() == null) {
+      Optional<BackendServer> s = services.services().choose(candidates);
+      return s.isPresent() ? result(state, group, s.get(), null, none) : Result.refused(none);
+    }
+    Applicant a = applicant(request.prompt(), waiting);
+    Verdict v = services.prompts().decide(a, state, group, candidates);
+    if (v.plan() != null) {
+      return result(state, group, v.plan().server(), v.plan(), none);
+    }
+    services.waiting().recordVerdict(request.id(), a, v);
+    return v.reason() == Reason.NO_SERVER
+        ? Result.refused(none)
+        : new Result(null, null, v.refusal(), v.attempt());
+  }
+
+  private Result result(
+      FleetState state,
+      ServerGroup group,
+      BackendServer server,
+      @Nullable PromptPlan plan,
+      Failure none) {
+    boolean mayStart =
+        group.coldRequestsPerSecond() <= 0
+            || server.coldMs() <= 0
+            || services.cold().tryAcquire(server, group.coldRequestsPerSecond(), state.entries());
+    return mayStart ? new Result(server, plan, null, Attempt.SETTLED) : Result.refused(none);
+  }
+
+  private Applicant applicant(Prompt prompt, boolean waiting) {
+    long now = services.clock().nowMs();
+    return new Applicant(
+        admitted.route(),
+        service,
+        rank,
+        organisation(),
+        prompt,
+        now - startMs,
+        Math.max(0, endMs - now),
+        run.isResponseStarted(),
+        waiting);
+  }
+
+  private Remaining candidates(FleetState state, ServerGroup group) {
+    Placed placed =
+        new Placed(
+            request.id(),
+            admitted.route(),
+            service,
+            admitted.priority(),
+            organisation(),
+            run.attempts());
+    Remaining remaining = new Remaining(untried(state, group), 0);
+    for (CandidateFilter f : services.extensions().filters()) {
+      if (!remaining.servers().isEmpty()) {
+        remaining = f.filter(placed, state, remaining.servers());
+      }
+    }
+    return remaining;
+  }
+
+  private List<BackendServer> untried(FleetState state, ServerGroup group) {
+    List<BackendServer> fresh =
+        state.available(service).stream().filter(s -> !run.hasTried(s)).toList();
+    if (group.coldRequestsPerSecond() <= 0) {
+      return fresh;
+    }
+    List<BackendServer> warm = fresh.stream().filter(s -> s.coldMs() <= 0).toList();
+    return warm.isEmpty() ? fresh : warm;
+  }
+}
--- a/org.cowslipyoke.transport/src/main/java/org/cowslipyoke/transport/LoadReportCodec.java
+++ b/org.cowslipyoke.transport/src/main/java/org/cowslipyoke/transport/LoadReportCodec.java
@@ -2,7 +2,6 @@
 
 import java.io.IOException;
 import java.util.ArrayList;
-import java.util.Arrays;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
@@ -130,16 +129,15 @@
 
   private static Load rankedLoad(FieldReader f) throws IOException, MalformedResponseException {
     int count = f.header();
-    RankLoad[] ranks = new RankLoad[UrgencyRank.COUNT];
-    Arrays.fill(ranks, RankLoad.NONE);
+    Map<Integer, RankLoad> ranks = new HashMap<>();
     for (int i = 0; i < count; i++) {
       int fields = f.header();
       int rank = f.count();
       if (fields != 4 || rank >= UrgencyRank.COUNT) {
         throw new MalformedResponseException("malformed load of rank " + rank);
       }
-      ranks[rank] = new RankLoad(f.count(), f.size(), f.size());
+      ranks.put(rank, new RankLoad(f.count(), f.size(), f.size()));
     }
-    return new Load(List.of(ranks));
+    return new Load(ranks);
   }
 }
--- a/org.cowslipyoke/src/main/java/org/cowslipyoke/relay/PeerLoads.java
+++ b/org.cowslipyoke/src/main/java/org/cowslipyoke/relay/PeerLoads.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.BiFunction;
+import java.util.stream.IntStream;
 import org.cowslipyoke.util.Clock;
 
 /**
@@ -56,12 +57,15 @@
 
     /** Creates a load of unknown urgency, which delays requests of every rank. */
     public Load(int inFlight, long prefillTokens, long residentTokens) {
+      this(Map.of(UrgencyRank.MOST_URGENT, new RankLoad(inFlight, prefillTokens, residentTokens)));
+    }
+
+    /** Creates a load from those of some ranks. */
+    public Load(Map<Integer, RankLoad> byRank) {
       this(
-          List.of(
-              new RankLoad(inFlight, prefillTokens, residentTokens),
-              RankLoad.NONE,
-              RankLoad.NONE,
-              RankLoad.NONE));
+          IntStream.range(0, UrgencyRank.COUNT)
+              .mapToObj(r -> byRank.getOrDefault(r, RankLoad.NONE))
+              .toList());
     }
 
     /** Returns the number of requests in flight. */
@@ -105,12 +109,11 @@
     }
 
     private Load combine(BiFunction<Integer, RankLoad, RankLoad> f) {
-      return new Load(
-          List.of(
-              f.apply(0, ranks.get(0)),
-              f.apply(1, ranks.get(1)),
-              f.apply(2, ranks.get(2)),
-              f.apply(3, ranks.get(3))));
+      RankLoad[] combined = new RankLoad[UrgencyRank.COUNT];
+      for (int r = 0; r < combined.length; r++) {
+        combined[r] = f.apply(r, ranks.get(r));
+      }
+      return new Load(List.of(combined));
     }
   }
 
--- a/org.cowslipyoke/src/main/java/org/cowslipyoke/relay/PromptPlacement.java
+++ b/org.cowslipyoke/src/main/java/org/cowslipyoke/relay/PromptPlacement.java
@@ -100,6 +100,7 @@
   private record PlacementContext(
       Prompt prompt,
       int rank,
+      EngineRoom room,
       @Nullable String organisation,
       CacheIsolation isolation,
       FleetState state,
@@ -135,11 +136,12 @@
       FleetState state,
       ServerGroup group,
       List<BackendServer> candidates) {
-    return choose(p, UrgencyRank.MOST_URGENT, organisation, state, group, candidates);
+    return choose(
+        p, UrgencyRank.MOST_URGENT, organisation, state, group, candidates, EngineRoom.ANY);
   }
 
   /**
-   * Chooses a server; returns empty if no candidate has weights that may be used.
+   * Chooses a server; returns empty if no candidate has room and weights that may be used.
    *
    * @param rank {@link UrgencyRank} of the prompt
    * @param organisation owner of the prompt, null on an open route
@@ -150,7 +152,8 @@
       @Nullable String organisation,
       FleetState state,
       ServerGroup group,
-      List<BackendServer> candidates) {
+      List<BackendServer> candidates,
+      EngineRoom room) {
     List<BackendServer> order =
         Rendezvous.top(
             affinity(p).getBytes(StandardCharsets.UTF_8),
@@ -161,6 +164,7 @@
         new PlacementContext(
             p,
             rank,
+            room,
             organisation,
             state.desired() == null ? CacheIsolation.NONE : state.desired().isolation(),
             state,
@@ -209,6 +213,9 @@
     int unread = Math.max(1, p.promptTokens() - held.tokens() - fetched);
     PromptWork work = PromptWork.of(context.rank(), p, salt, unread);
     Load load = context.load().loadAt(server);
+    if (!context.room().hasRoom(load, work, profiles.of(server))) {
+      return null;
+    }
     double expected = expectedMs(context, server, load, work) + fetched * fetchMsPerToken(context);
     double cost = expected + penaltyMs(context, server, old) + RANK_MS * position;
     return new ScoredServer(server, weights, salt, held, fetched, work, load, expected, cost);
--- a/org.cowslipyoke/src/main/java/org/cowslipyoke/relay/RouteTable.java
+++ b/org.cowslipyoke/src/main/java/org/cowslipyoke/relay/RouteTable.java
@@ -12,12 +12,16 @@
 public final class RouteTable {
 
   private final Map<String, List<Route>> byHost;
+  private final Map<String, Long> longestObjectiveMs = new HashMap<>();
 
   /** Creates a table. */
   public RouteTable(List<Route> routes) {
     Map<String, List<Route>> map = new HashMap<>();
     for (Route r : routes) {
       map.computeIfAbsent(r.host().toLowerCase(Locale.ROOT), h -> new ArrayList<>()).add(r);
+      for (Route.Share s : r.shares()) {
+        longestObjectiveMs.merge(s.service(), r.objectiveMs(), Math::max);
+      }
     }
     Comparator<Route> longestFirst = Comparator.comparingInt(r -> -r.prefix().length());
     map.values().forEach(l -> l.sort(longestFirst));
@@ -38,6 +42,13 @@
         .findFirst();
   }
 
+  /**
+   * Returns the longest objective of the routes to a service, in milliseconds; 0 if none has one.
+   */
+  public long longestObjectiveMs(String service) {
+    return longestObjectiveMs.getOrDefault(service, 0L);
+  }
+
   /** Returns the number of routes. */
   public int size() {
     return byHost.values().stream().mapToInt(List::size).sum();
--- a/org.cowslipyoke/src/main/java/org/cowslipyoke/relay/ServerLoad.java
+++ b/org.cowslipyoke/src/main/java/org/cowslipyoke/relay/ServerLoad.java
@@ -28,8 +28,9 @@
   static final long LOADING_MS = 700;
 
   /**
-   * Number of prompt tokens to prefill from which other entries must learn of a request at once: a
-   * prompt that follows it at the same engine would wait for more than a step.
+   * Number of prompt tokens to prefill from which other entries must learn of a request and of the
+   * end of its prefill at once: a prompt that follows it at the same engine would wait for more
+   * than a step, and prompts may wait for the engine.
    */
   static final long URGENT_TOKENS = 1_024;
 
@@ -122,7 +123,7 @@
       int r = work.rank();
       prefillTokens[r] = Math.max(0, prefillTokens[r] - work.prefillTokens());
     }
-    reportChange(work, false);
+    reportChange(work, work.prefillTokens() >= URGENT_TOKENS);
   }
 
   /** Records the end of a request. */
@@ -195,11 +196,11 @@
 
   /** Returns the current load of the server from this process. */
   synchronized Load snapshot() {
-    return new Load(List.of(rankLoad(0), rankLoad(1), rankLoad(2), rankLoad(3)));
-  }
-
-  private RankLoad rankLoad(int rank) {
-    return new RankLoad(inFlight[rank], prefillTokens[rank], residentTokens[rank]);
+    RankLoad[] ranks = new RankLoad[UrgencyRank.COUNT];
+    for (int r = 0; r < ranks.length; r++) {
+      ranks[r] = new RankLoad(inFlight[r], prefillTokens[r], residentTokens[r]);
+    }
+    return new Load(List.of(ranks));
   }
 
   /** Returns the number of requests in flight. */
