--- a/org.cowslipyoke/src/main/java/org/cowslipyoke/relay/EngineProfile.java
+++ b/org.cowslipyoke/src/main/java/org/cowslipyoke/relay/EngineProfile.java
@@ -1,5 +1,7 @@
 package org.cowslipyoke.relay;
 
+import org.cowslipyoke.relay.PeerLoads.Load;
+
 /**
  * Speed of a model engine with continuous batching, as of now.
  *
@@ -81,6 +83,19 @@
     return Math.max(0, waiting - queue.delayingTokens(waiting)) * msPerToken(running);
   }
 
+  /**
+   * Returns the number of prompt tokens that an engine prefills before a new prompt: those of
+   * prompts that are as urgent or more, and at most one chunk of others, whose step has begun.
+   *
+   * @param load load of the engine without the prompt
+   * @param rank {@link UrgencyRank} of the prompt
+   */
+  public long prefillTokensAhead(Load load, int rank) {
+    long ahead = load.upTo(rank).prefillTokens();
+    long others = load.prefillTokens() - ahead;
+    return ahead + Math.min(others, Math.round(chunkTokens));
+  }
+
   /** Returns the profile of an engine that is slower by a factor, and slow by another one now. */
   public EngineProfile slower(double factor, double slowNow) {
     double f = factor * slowNow;
--- a/org.cowslipyoke/src/main/java/org/cowslipyoke/relay/PromptPlacement.java
+++ b/org.cowslipyoke/src/main/java/org/cowslipyoke/relay/PromptPlacement.java
@@ -106,6 +106,8 @@
   /** Inputs of the placement of one prompt. */
   private record PlacementContext(
       Prompt prompt,
+      int rank,
+      EngineRoom room,
       @Nullable String organisation,
       CacheIsolation isolation,
       FleetState state,
@@ -135,17 +137,31 @@
       double expectedMs,
       double costMs) {}
 
+  /** Chooses a server for a prompt of the most urgent rank. */
+  public Optional<PromptPlan> choose(
+      Prompt p,
+      @Nullable String organisation,
+      FleetState state,
+      ServerGroup group,
+      List<BackendServer> candidates) {
+    return choose(
+        p, UrgencyRank.MOST_URGENT, organisation, state, group, candidates, EngineRoom.ANY);
+  }
+
   /**
-   * Chooses a server; returns empty if no candidate has weights that may be used.
+   * Chooses a server; returns empty if no candidate has room and weights that may be used.
    *
+   * @param rank {@link UrgencyRank} of the prompt
    * @param organisation owner of the prompt, null on an open route
    */
   public Optional<PromptPlan> choose(
       Prompt p,
+      int rank,
       @Nullable String organisation,
       FleetState state,
       ServerGroup group,
-      List<BackendServer> candidates) {
+      List<BackendServer> candidates,
+      EngineRoom room) {
     List<BackendServer> order =
         Rendezvous.top(
             affinity(p).getBytes(StandardCharsets.UTF_8),
@@ -155,6 +171,8 @@
     PlacementContext context =
         new PlacementContext(
             p,
+            rank,
+            room,
             organisation,
             state.desired() == null ? CacheIsolation.NONE : state.desired().isolation(),
             state,
@@ -166,8 +184,8 @@
             new HashMap<>(),
             crossing(p));
     ScoredServer best = null;
-    for (int rank = 0; rank < order.size(); rank++) {
-      ScoredServer o = score(context, order.get(rank), rank);
+    for (int i = 0; i < order.size(); i++) {
+      ScoredServer o = score(context, order.get(i), i);
       if (o != null && (best == null || o.costMs() < best.costMs())) {
         best = o;
       }
@@ -186,7 +204,8 @@
         .toList();
   }
 
-  private @Nullable ScoredServer score(PlacementContext context, BackendServer server, int rank) {
+  private @Nullable ScoredServer score(
+      PlacementContext context, BackendServer server, int position) {
     Prompt p = context.prompt();
     int weights = loads.weights(server, p.model());
     if (weights == 0) {
@@ -201,11 +220,14 @@
     CachedPrefix held = transfers.cachedPrefix(server, salt, p);
     int fetched = fetchableTokens(context, salt, held);
     int unread = Math.max(1, p.promptTokens() - held.tokens() - fetched);
-    PromptWork work = PromptWork.of(p, salt, unread);
+    PromptWork work = PromptWork.of(context.rank(), p, salt, unread);
     Load load = context.load().loadAt(server);
+    if (!context.room().hasRoom(load, work, profiles.of(server))) {
+      return null;
+    }
     double expected = expectedMs(context, server, load, work) + fetched * fetchMsPerToken(context);
     double crowding = profiles.of(server).crowdingMs(load.prefillTokens(), load.inFlight());
-    double cost = expected + crowding + penaltyMs(context, server, old) + RANK_MS * rank;
+    double cost = expected + crowding + penaltyMs(context, server, old) + RANK_MS * position;
     return new ScoredServer(server, weights, salt, held, fetched, work, load, expected, cost);
   }
 
@@ -214,9 +236,9 @@
       PlacementContext context, BackendServer server, Load load, PromptWork work) {
     ServerLoad own = loads.of(server);
     EngineProfile profile = profiles.of(server);
-    double expected =
-        profile.firstTokenMs(work.prefillTokens(), load.prefillTokens(), load.inFlight());
-    expected += memoryWaitMs(context, load, own.addedTokens(work));
+    long ahead = profile.prefillTokensAhead(load, work.rank());
+    double expected = profile.firstTokenMs(work.prefillTokens(), ahead, load.inFlight());
+    expected += memoryWaitMs(context, load.upTo(work.rank()), own.addedTokens(work));
     expected += own.isLoading() ? LOADING_MS : 0;
     expected += isUnresponsive(context, server) ? UNRESPONSIVE_MS : 0;
     return expected;
--- a/org.cowslipyoke/src/main/java/org/cowslipyoke/relay/RouteTable.java
+++ b/org.cowslipyoke/src/main/java/org/cowslipyoke/relay/RouteTable.java
@@ -14,14 +14,18 @@
 
   private final Map<String, List<Route>> byHost;
   private final Map<String, Long> shortestObjectives = new HashMap<>();
+  private final Map<String, Long> longestObjectiveMs = new HashMap<>();
 
   /** Creates a table. */
   public RouteTable(List<Route> routes) {
     Map<String, List<Route>> map = new HashMap<>();
     for (Route r : routes) {
       map.computeIfAbsent(r.host().toLowerCase(Locale.ROOT), h -> new ArrayList<>()).add(r);
-      if (r.objectiveMs() > 0) {
-        r.shares().forEach(s -> shortestObjectives.merge(s.service(), r.objectiveMs(), Math::min));
+      for (Route.Share s : r.shares()) {
+        longestObjectiveMs.merge(s.service(), r.objectiveMs(), Math::max);
+        if (r.objectiveMs() > 0) {
+          shortestObjectives.merge(s.service(), r.objectiveMs(), Math::min);
+        }
       }
     }
     Comparator<Route> longestFirst = Comparator.comparingInt(r -> -r.prefix().length());
@@ -49,6 +53,13 @@
     return ms == null ? OptionalLong.empty() : OptionalLong.of(ms);
   }
 
+  /**
+   * Returns the longest objective of the routes to a service, in milliseconds; 0 if none has one.
+   */
+  public long longestObjectiveMs(String service) {
+    return longestObjectiveMs.getOrDefault(service, 0L);
+  }
+
   /** Returns the number of routes. */
   public int size() {
     return byHost.values().stream().mapToInt(List::size).sum();
--- a/org.cowslipyoke/src/main/java/org/cowslipyoke/relay/profile/LearnedEngineProfiles.java
+++ b/org.cowslipyoke/src/main/java/org/cowslipyoke/relay/profile/LearnedEngineProfiles.java
@@ -151,9 +151,9 @@
       return;
     }
     EngineProfile p = of(a.server());
+    Load ahead = loadAhead(plan, p);
     double expectedMs =
-        p.firstTokenMs(
-            plan.work().prefillTokens(), plan.load().prefillTokens(), plan.load().inFlight());
+        p.firstTokenMs(plan.work().prefillTokens(), ahead.prefillTokens(), ahead.inFlight());
     double otherMs = Math.max(0, plan.estimateMs() - expectedMs);
     double waitMs = otherMs - plan.fetchedTokens() * MAX_FETCH_MS_PER_TOKEN;
     boolean learn = a.ordinal() == 1 && waitMs <= MAX_OTHER_PART * plan.estimateMs();
@@ -246,10 +246,17 @@
     PromptPlan plan = r.plan;
     long tokens = plan.work().prefillTokens();
     EngineProfile usual = model.profile();
-    double usualMs =
-        usual.firstTokenMs(tokens, plan.load().prefillTokens(), plan.load().inFlight());
+    Load ahead = loadAhead(plan, usual);
+    double usualMs = usual.firstTokenMs(tokens, ahead.prefillTokens(), ahead.inFlight());
     r.server.recordFirst(engineMs / usualMs);
-    model.acceptFirst(engineMs / factors.lasting(r.server), tokens, plan.load());
+    model.acceptFirst(engineMs / factors.lasting(r.server), tokens, ahead);
+  }
+
+  /** Returns the load that delayed a prompt: all running requests, but only tokens ahead of it. */
+  private static Load loadAhead(PromptPlan plan, EngineProfile p) {
+    Load load = plan.load();
+    long tokens = p.prefillTokensAhead(load, plan.work().rank());
+    return new Load(load.inFlight(), tokens, load.residentTokens());
   }
 
   /** Learns a gap; the load is taken as the greater one of those at its ends. */
