--- a/org.cowslipyoke/src/main/java/org/cowslipyoke/rollout/EntryRollouts.java
+++ b/org.cowslipyoke/src/main/java/org/cowslipyoke/rollout/EntryRollouts.java
@@ -200,7 +200,8 @@
     sightings.observe(state);
     RolloutOrder order = orders.get(request.service());
     RolloutState s = table.state(request.service());
-    List<BackendServer> admitted = admitted(request, state, candidates, order, s);
+    List<BackendServer> allowed = s == null ? candidates : VersionChoice.notRejected(candidates, s);
+    List<BackendServer> admitted = admitted(request, state, allowed, order, s);
     return new Remaining(admitted, admitted.isEmpty() ? RETRY_AFTER_MS : 0);
   }
 
@@ -251,13 +252,13 @@
     if (target.isEmpty() || halted || r == null || !r.matches(s)) {
       return old;
     }
-    if (!table.isCurrent(clock.nowMs())) {
-      boolean onlyTarget = VersionChoice.isOnly(state, request.service(), s.target());
-      return s.step() == RolloutStep.FINAL && onlyTarget ? target : old;
-    }
-    if (s.step() == RolloutStep.FINAL) {
+    boolean all = s.step() == RolloutStep.FINAL;
+    if (all && table.isRecent(clock.nowMs())) {
       return target;
     }
+    if (!table.isCurrent(clock.nowMs())) {
+      return all && VersionChoice.isOnly(state, request.service(), s.target()) ? target : old;
+    }
     boolean retry = request.attempts() > 0 && !old.isEmpty();
     if (retry || r.isOversampled(request.route().name()) || !r.allowance.tryTake()) {
       return old;
@@ -294,7 +295,7 @@
     }
     long now = clock.nowMs();
     Long atMs = report.asOfMs() < 0 ? null : toMonotonicMs.apply(report.asOfMs());
-    table.hear(report.tableVersion(), atMs, report.asOfMs());
+    table.hear(report.tableVersion(), atMs, report.asOfMs(), now);
     if (report.owner()) {
       ownerHeardMs = now;
     }
--- a/org.cowslipyoke/src/main/java/org/cowslipyoke/rollout/RolloutController.java
+++ b/org.cowslipyoke/src/main/java/org/cowslipyoke/rollout/RolloutController.java
@@ -2,6 +2,7 @@
 
 import java.util.Optional;
 import java.util.Set;
+import java.util.TreeSet;
 import org.jspecify.annotations.Nullable;
 
 /** Decides the next state of a rollout, for the entry that owns it. */
@@ -109,7 +110,14 @@
     if (s != null && !s.closed() && s.target().equals(order.target())) {
       return Optional.empty();
     }
-    Set<String> old = new java.util.TreeSet<>(x.versions());
+    Set<String> rejected = new TreeSet<>(s == null ? Set.of() : s.rejected());
+    if (s != null && s.step() == RolloutStep.ROLLED_BACK) {
+      rejected.add(s.target());
+    }
+    rejected.remove(order.target());
+    rejected.retainAll(x.versions());
+    Set<String> old = new TreeSet<>(x.versions());
+    old.removeAll(rejected);
     boolean present = old.remove(order.target());
     boolean done = present && old.isEmpty();
     return Optional.of(
@@ -117,6 +125,7 @@
             order.service(),
             order.target(),
             Set.copyOf(old),
+            Set.copyOf(rejected),
             done ? RolloutStep.SUCCEEDED : RolloutStep.CANARY,
             done ? 1 : MIN_SHARE * bounds.share(),
             x.orderedMs(),
--- a/org.cowslipyoke/src/main/java/org/cowslipyoke/rollout/RolloutState.java
+++ b/org.cowslipyoke/src/main/java/org/cowslipyoke/rollout/RolloutState.java
@@ -14,6 +14,7 @@
  *
  * @param target version that the service moves to
  * @param old versions that ran before the order
+ * @param rejected targets of earlier rollouts that were rolled back; their servers get nothing
  * @param share share of the requests that the target gets, from 0 to 1
  * @param startedMs lower bound of the time of the order; also identifies the rollout
  * @param durationMs time within which the rollout must end, in milliseconds
@@ -26,6 +27,7 @@
     String service,
     String target,
     Set<String> old,
+    Set<String> rejected,
     RolloutStep step,
     double share,
     long startedMs,
@@ -43,25 +45,58 @@
   /** Returns the state with another step. */
   RolloutState withStep(RolloutStep next, double nextShare, long nowMs, String why) {
     return new RolloutState(
-        service, target, old, next, nextShare, startedMs, durationMs, nowMs, why, closed, owner);
+        service,
+        target,
+        old,
+        rejected,
+        next,
+        nextShare,
+        startedMs,
+        durationMs,
+        nowMs,
+        why,
+        closed,
+        owner);
   }
 
   /** Returns the state with another duration. */
   RolloutState withDuration(long ms) {
     return new RolloutState(
-        service, target, old, step, share, startedMs, ms, sinceMs, reason, closed, owner);
+        service, target, old, rejected, step, share, startedMs, ms, sinceMs, reason, closed, owner);
   }
 
   /** Returns the state after the removal of the order. */
   RolloutState close() {
     return new RolloutState(
-        service, target, old, step, share, startedMs, durationMs, sinceMs, reason, true, owner);
+        service,
+        target,
+        old,
+        rejected,
+        step,
+        share,
+        startedMs,
+        durationMs,
+        sinceMs,
+        reason,
+        true,
+        owner);
   }
 
   /** Returns the state with the entry that writes it. */
   public RolloutState ownedBy(String vm) {
     return new RolloutState(
-        service, target, old, step, share, startedMs, durationMs, sinceMs, reason, closed, vm);
+        service,
+        target,
+        old,
+        rejected,
+        step,
+        share,
+        startedMs,
+        durationMs,
+        sinceMs,
+        reason,
+        closed,
+        vm);
   }
 
   /** Encodes the state as the value of a row. */
@@ -79,6 +114,8 @@
             .put("owner", owner);
     ArrayNode versions = n.putArray("old");
     new TreeSet<>(old).forEach(versions::add);
+    ArrayNode bad = n.putArray("rejected");
+    new TreeSet<>(rejected).forEach(bad::add);
     return n.toString();
   }
 
@@ -90,17 +127,14 @@
   public static RolloutState decode(String service, String value)
       throws MalformedResponseException {
     JsonNode n = Json.parse(value.getBytes(StandardCharsets.UTF_8));
-    Set<String> old = new TreeSet<>();
-    for (JsonNode v : Json.array(n, "old")) {
-      old.add(v.asText());
-    }
     String name = Json.text(n, "step");
     for (RolloutStep step : RolloutStep.values()) {
       if (step.name().equals(name)) {
         return new RolloutState(
             service,
             Json.text(n, "target"),
-            Set.copyOf(old),
+            versions(n, "old"),
+            versions(n, "rejected"),
             step,
             share(n),
             Json.integer(n, "startedMs"),
@@ -114,6 +148,14 @@
     throw new MalformedResponseException("unknown step " + name);
   }
 
+  private static Set<String> versions(JsonNode n, String field) throws MalformedResponseException {
+    Set<String> versions = new TreeSet<>();
+    for (JsonNode v : Json.array(n, field)) {
+      versions.add(v.asText());
+    }
+    return Set.copyOf(versions);
+  }
+
   private static double share(JsonNode n) throws MalformedResponseException {
     JsonNode share = Json.field(n, "share");
     if (!share.isNumber() || share.asDouble() < 0 || share.asDouble() > 1) {
--- a/org.cowslipyoke/src/main/java/org/cowslipyoke/rollout/RolloutTable.java
+++ b/org.cowslipyoke/src/main/java/org/cowslipyoke/rollout/RolloutTable.java
@@ -27,6 +27,7 @@
   private Map<String, RolloutState> states = Map.of();
   private long version = -1;
   private long newestHeard = -1;
+  private long newestHeardMs;
   private long asOfMs;
   private long asOfTableMs = -1;
   private long readMs = Long.MIN_VALUE / 2;
@@ -55,8 +56,11 @@
    *
    * @param atMs monotonic time at which that copy was current or an earlier one; null if unknown
    */
-  synchronized void hear(long otherVersion, @Nullable Long atMs, long atTableMs) {
-    newestHeard = Math.max(newestHeard, otherVersion);
+  synchronized void hear(long otherVersion, @Nullable Long atMs, long atTableMs, long nowMs) {
+    if (otherVersion > newestHeard) {
+      newestHeard = otherVersion;
+      newestHeardMs = nowMs;
+    }
     if (otherVersion == version && atMs != null && atMs > asOfMs) {
       asOfMs = atMs;
       asOfTableMs = atTableMs;
@@ -96,6 +100,17 @@
     return version >= 0 && newestHeard <= version && nowMs - asOfMs <= MAX_AGE_MS;
   }
 
+  /**
+   * Returns whether the copy is current or was so within {@link #READ_MS}. After the last step a
+   * newer state that is about to be read is usually the success, at which the old servers stop, so
+   * no request may go back to them meanwhile.
+   */
+  synchronized boolean isRecent(long nowMs) {
+    return version >= 0
+        && nowMs - asOfMs <= MAX_AGE_MS
+        && (newestHeard <= version || nowMs - newestHeardMs <= READ_MS);
+  }
+
   /** Returns the state of a service's last rollout, null if there is none. */
   public synchronized @Nullable RolloutState state(String service) {
     return states.get(service);
--- a/org.cowslipyoke/src/main/java/org/cowslipyoke/rollout/VersionChoice.java
+++ b/org.cowslipyoke/src/main/java/org/cowslipyoke/rollout/VersionChoice.java
@@ -22,6 +22,11 @@
     return servers.stream().filter(s -> s.software().equals(version)).toList();
   }
 
+  /** Returns the servers of versions that no earlier rollout has rejected. */
+  static List<BackendServer> notRejected(List<BackendServer> servers, RolloutState s) {
+    return servers.stream().filter(x -> !s.rejected().contains(x.software())).toList();
+  }
+
   /** Returns the servers of versions that ran before the order. */
   static List<BackendServer> old(List<BackendServer> servers, RolloutState s) {
     return servers.stream().filter(x -> isOld(x, s)).toList();
