Bound the memory and the connections that callers hold

Cause: request bodies were buffered before route and key were checked and without a common limit, a head of 16 KiB of short headers took more than 500 KiB of heap, complete responses were copied and held for callers that didn't read them, kept connections held their last exchange and 8 KiB, and cancelled time-outs held their requests until they were due. The number of connections was not limited, and heads above 8 KiB were refused with 431 although the desired state allows 16 KiB.

Change: CallerMemory is one budget per process, a quarter of the heap by default. Bytes are acquired before they are read; when it is used up, holdings of stalled callers are evicted, the largest first, and small requests keep a reserve. Route and key are checked when the head is read, and again when the body is complete. ConnectionBound closes the connection that has waited longest. Bodies of refused requests are discarded, up to 4 MiB in 2 s. Late bodies get 408, which is not run.

--- a/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/CallerChannel.java
+++ b/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/CallerChannel.java
@@ -4,14 +4,17 @@
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.Supplier;
 import org.cowslipyoke.errors.Failure;
 import org.cowslipyoke.errors.Outcome;
+import org.cowslipyoke.relay.CallerMemory;
 import org.eclipse.jetty.http.HttpField;
 import org.eclipse.jetty.http.HttpFields;
 import org.eclipse.jetty.http.HttpHeader;
 import org.eclipse.jetty.server.Request;
 import org.eclipse.jetty.server.Response;
 import org.eclipse.jetty.util.Callback;
+import org.eclipse.jetty.util.IteratingCallback;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -25,17 +28,29 @@
    */
   private static final int MAX_PENDING_BYTES = 1 << 20;
 
+  /**
+   * Size of a complete response that is sent even if the memory is used up, in bytes; those of
+   * services that run no model have 800 bytes.
+   */
+  private static final int UNLIMITED_BYTES = 4 << 10;
+
   private final Request request;
   private final Response response;
   private final Callback callback;
   private final RelayDialect dialect;
   private final boolean closing;
+  private final RequestBody body;
+  private final CallerMemory.Holding memory;
   private final AtomicBoolean done = new AtomicBoolean();
+  private final AtomicBoolean completed = new AtomicBoolean();
   private final ByteArrayOutputStream pending = new ByteArrayOutputStream();
   private volatile Runnable left = () -> {};
   private boolean writing;
   private boolean ending;
 
+  /** Bytes of a stream whose memory is acquired, of which some are being written. */
+  private int acquired;
+
   /**
    * Creates the caller's side of one request.
    *
@@ -46,12 +61,16 @@
       Response response,
       Callback callback,
       RelayDialect dialect,
-      boolean closing) {
+      boolean closing,
+      RequestBody body,
+      CallerMemory.Holding memory) {
     this.request = request;
     this.response = response;
     this.callback = callback;
     this.dialect = dialect;
     this.closing = closing;
+    this.body = body;
+    this.memory = memory;
   }
 
   HttpFields headers() {
@@ -64,19 +83,99 @@
    */
   void watch(Runnable left) {
     this.left = left;
+    if (done.get()) {
+      return;
+    }
     if (request.getConnectionMetaData().getConnection().getEndPoint()
         instanceof ReadAheadEndPoint w) {
       w.watch(left);
     }
   }
 
-  /** Sends a complete response. */
-  void sendComplete(int status, HttpFields headers, byte[] body) {
+  /**
+   * Sends the complete response of a server. The connection is closed if there is no memory to hold
+   * the response until the caller has read it.
+   *
+   * @param size size of the content in bytes
+   * @param bytes returns the content, called if there is memory
+   */
+  void sendComplete(int status, HttpFields headers, int size, Supplier<byte[]> bytes) {
     if (!done.compareAndSet(false, true)) {
       return;
     }
+    left = () -> {};
+    memory.unwatch();
+    body.releaseMemory();
+    if (!memory.tryAcquire(size) && size > UNLIMITED_BYTES) {
+      fail(new IllegalStateException("the memory for responses is used up"));
+      return;
+    }
     head(status, headers);
-    response.write(true, ByteBuffer.wrap(body), callback);
+    if (size > ResponseWriter.PART_BYTES) {
+      response.getHeaders().put(HttpHeader.CONTENT_LENGTH, size);
+    }
+    memory.watch(r -> fail(new IllegalStateException("the caller does not read: " + r)));
+    new ResponseWriter(bytes.get()).iterate();
+  }
+
+  /** Writes a response in parts, because the JVM copies each part to memory outside the heap. */
+  private final class ResponseWriter extends IteratingCallback {
+
+    private static final int PART_BYTES = 64 << 10;
+
+    private final ByteBuffer content;
+    private int part;
+    private boolean lastWritten;
+
+    ResponseWriter(byte[] content) {
+      this.content = ByteBuffer.wrap(content);
+    }
+
+    @Override
+    protected Action process() {
+      memory.transferred(part);
+      if (lastWritten) {
+        return Action.SUCCEEDED;
+      }
+      part = Math.min(PART_BYTES, content.remaining());
+      ByteBuffer next = content.slice(content.position(), part);
+      content.position(content.position() + part);
+      lastWritten = !content.hasRemaining();
+      response.write(lastWritten, next, this);
+      return Action.SCHEDULED;
+    }
+
+    @Override
+    protected void onCompleteSuccess() {
+      complete();
+    }
+
+    @Override
+    protected void onCompleteFailure(Throwable cause) {
+      fail(cause);
+    }
+  }
+
+  /** Ends the request after its response was written and the rest of its body was discarded. */
+  private void complete() {
+    if (body.isEnded()) {
+      succeed();
+      return;
+    }
+    memory.watch(r -> fail(new IllegalStateException("the rest of the body is late: " + r)));
+    body.discard(Callback.from(this::succeed, this::fail));
+  }
+
+  private void succeed() {
+    if (completed.compareAndSet(false, true)) {
+      callback.succeeded();
+    }
+  }
+
+  private void fail(Throwable cause) {
+    if (completed.compareAndSet(false, true)) {
+      callback.failed(cause);
+    }
   }
 
   /**
@@ -105,6 +204,7 @@
    * @return false if the caller reads so slowly that the limit is exceeded
    */
   boolean sendPart(byte[] bytes) {
+    boolean buffered;
     synchronized (pending) {
       if (done.get() || ending) {
         return true;
@@ -112,7 +212,17 @@
       if (pending.size() + bytes.length > MAX_PENDING_BYTES) {
         return false;
       }
+      buffered = writing;
+    }
+    if (buffered && !memory.tryAcquire(bytes.length)) {
+      return false;
+    }
+    synchronized (pending) {
       pending.writeBytes(bytes);
+      if (buffered && acquired == 0) {
+        memory.watch(r -> writeFailed(new IllegalStateException("the caller does not read: " + r)));
+      }
+      acquired += buffered ? bytes.length : 0;
     }
     writeNext();
     return true;
@@ -142,15 +252,25 @@
       }
     }
     if (last) {
-      response.write(true, ByteBuffer.wrap(next), callback);
+      response.write(true, ByteBuffer.wrap(next), Callback.from(this::complete, this::fail));
     } else {
-      response.write(false, ByteBuffer.wrap(next), Callback.from(this::written, this::writeFailed));
+      Runnable written = () -> written(next.length);
+      response.write(false, ByteBuffer.wrap(next), Callback.from(written, this::writeFailed));
     }
   }
 
-  private void written() {
+  private void written(int n) {
     synchronized (pending) {
       writing = false;
+      if (acquired > 0) {
+        int released = Math.min(n, acquired);
+        acquired -= released;
+        memory.transferred(n);
+        memory.release(released);
+        if (acquired == 0) {
+          memory.unwatch();
+        }
+      }
     }
     writeNext();
   }
@@ -166,7 +286,7 @@
    */
   void cut(Throwable cause) {
     if (done.compareAndSet(false, true)) {
-      callback.failed(cause);
+      fail(cause);
     }
   }
 
@@ -178,6 +298,12 @@
         String.format(
             "{\"error\":{\"kind\":\"%s\",\"message\":\"%s\",\"outcome\":\"%s\"}}",
             f.kind().wireName(), f.message().replace('"', '\''), f.outcome().wireName());
-    sendComplete(f.kind().status(), headers, json.getBytes(StandardCharsets.UTF_8));
+    if (done.compareAndSet(false, true)) {
+      left = () -> {};
+      memory.unwatch();
+      head(f.kind().status(), headers);
+      byte[] content = json.getBytes(StandardCharsets.UTF_8);
+      response.write(true, ByteBuffer.wrap(content), Callback.from(this::complete, this::fail));
+    }
   }
 }
--- a/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/ReadAheadEndPoint.java
+++ b/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/ReadAheadEndPoint.java
@@ -5,6 +5,7 @@
 import java.nio.ByteBuffer;
 import java.nio.channels.ReadPendingException;
 import java.nio.channels.WritePendingException;
+import org.cowslipyoke.util.Clock;
 import org.eclipse.jetty.io.Connection;
 import org.eclipse.jetty.io.EndPoint;
 import org.eclipse.jetty.util.BufferUtil;
@@ -26,14 +27,47 @@
   private static final int MAX_AHEAD = 8 << 10;
 
   private final EndPoint endPoint;
-  private final ByteBuffer ahead = BufferUtil.allocate(MAX_AHEAD);
+  private final Clock clock;
+  private ByteBuffer ahead = BufferUtil.EMPTY_BUFFER;
   private @Nullable Callback reader;
   private @Nullable Runnable onDisconnect;
   private boolean reading;
   private boolean ended;
 
+  /** Requests in progress; the next one may begin before the last one has ended. */
+  private int requests;
+
+  private long headBeginMs = Long.MAX_VALUE;
+
   ReadAheadEndPoint(EndPoint endPoint) {
+    this(endPoint, Clock.system());
+  }
+
+  ReadAheadEndPoint(EndPoint endPoint, Clock clock) {
     this.endPoint = endPoint;
+    this.clock = clock;
+  }
+
+  /** Records that the head of a request was read. */
+  synchronized void requestBegun() {
+    requests++;
+    headBeginMs = Long.MAX_VALUE;
+  }
+
+  /** Ends watching, so that the connection holds nothing of its last request. */
+  synchronized void requestEnded() {
+    requests--;
+    if (requests == 0) {
+      onDisconnect = null;
+    }
+  }
+
+  /**
+   * Returns for how long the head of a request has been incomplete, in milliseconds; negative if
+   * there is none.
+   */
+  synchronized long incompleteHeadMs() {
+    return headBeginMs == Long.MAX_VALUE ? -1 : clock.nowMs() - headBeginMs;
   }
 
   /**
@@ -71,10 +105,16 @@
       waiting = reader;
       reader = null;
       if (waiting == null) {
+        if (!BufferUtil.hasContent(ahead)) {
+          ahead = BufferUtil.allocate(MAX_AHEAD);
+        }
         int n = fillAhead();
+        if (!BufferUtil.hasContent(ahead)) {
+          ahead = BufferUtil.EMPTY_BUFFER;
+        }
         ended = n < 0;
         left = ended ? onDisconnect : null;
-        more = !ended && BufferUtil.space(ahead) > 0;
+        more = !ended && (n == 0 || BufferUtil.space(ahead) > 0);
         reading = more;
         onDisconnect = ended ? null : onDisconnect;
       }
@@ -121,13 +161,17 @@
    */
   @Override
   public synchronized int fill(ByteBuffer buffer) throws IOException {
+    int n;
     if (BufferUtil.hasContent(ahead)) {
-      return BufferUtil.append(buffer, ahead);
+      n = BufferUtil.append(buffer, ahead);
+      ahead = BufferUtil.hasContent(ahead) ? ahead : BufferUtil.EMPTY_BUFFER;
+    } else {
+      n = ended ? -1 : endPoint.fill(buffer);
     }
-    if (ended) {
-      return -1;
+    if (n > 0 && requests == 0 && headBeginMs == Long.MAX_VALUE) {
+      headBeginMs = clock.nowMs();
     }
-    return endPoint.fill(buffer);
+    return n;
   }
 
   @Override
--- a/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/Relay.java
+++ b/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/Relay.java
@@ -2,8 +2,8 @@
 
 import io.micrometer.core.instrument.MeterRegistry;
 import java.net.InetSocketAddress;
-import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ScheduledThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
 import org.apache.logging.log4j.LogManager;
@@ -13,6 +13,7 @@
 import org.cowslipyoke.relay.Admission;
 import org.cowslipyoke.relay.CacheDirectory;
 import org.cowslipyoke.relay.CacheTransferPlanner;
+import org.cowslipyoke.relay.CallerMemory;
 import org.cowslipyoke.relay.ColdStartLimiter;
 import org.cowslipyoke.relay.FleetStateHolder;
 import org.cowslipyoke.relay.PeerLoads;
@@ -37,10 +38,10 @@
   static final int MAX_RESPONSE_BYTES = 4 << 20;
 
   /**
-   * Bytes that all buffered responses may have together beyond their reserves; a sixth of an
-   * entry's heap.
+   * Fraction of the heap that all buffered responses of servers may have together beyond their
+   * reserves.
    */
-  static final long MAX_BUFFERED_BYTES = 16L << 20;
+  private static final double BUFFERED_HEAP_FRACTION = 1.0 / 6;
 
   /**
    * Time for which a stopping process still accepts requests, in milliseconds. The platform checks
@@ -81,6 +82,12 @@
   /** Interval at which the servers of running requests are checked, in milliseconds. */
   private static final long CHECK_INTERVAL_MS = 200;
 
+  /** Maximum size of a request's head until a desired state was read, in bytes. */
+  static final int DEFAULT_MAX_HEADER_BYTES = 16 << 10;
+
+  /** Bytes that Jetty may count in addition to the limit, such as those of line ends. */
+  static final int HEADER_SLACK_BYTES = 512;
+
   private static final Logger LOG = LogManager.getLogger(Relay.class);
 
   /**
@@ -97,6 +104,7 @@
    * @param budgetBase retries allowed per window regardless of the number of requests, for all
    *     entries together
    * @param callerIdleMs idle time-out that callers use, in milliseconds
+   * @param callers limits of what callers may hold
    */
   public record Options(
       String failureDomain,
@@ -107,7 +115,33 @@
       long budgetWindowMs,
       double budgetRatio,
       double budgetBase,
-      long callerIdleMs) {}
+      long callerIdleMs,
+      CallerLimits callers) {
+
+    /** Creates options with limits for callers that follow from the heap. */
+    public Options(
+        String failureDomain,
+        String host,
+        int port,
+        long keyMaxAgeMs,
+        long oldWeightsMaxMs,
+        long budgetWindowMs,
+        double budgetRatio,
+        double budgetBase,
+        long callerIdleMs) {
+      this(
+          failureDomain,
+          host,
+          port,
+          keyMaxAgeMs,
+          oldWeightsMaxMs,
+          budgetWindowMs,
+          budgetRatio,
+          budgetBase,
+          callerIdleMs,
+          CallerLimits.ofProcess(0, 0));
+    }
+  }
 
   private final Clock clock;
   private final CrashSuspects suspects;
@@ -133,7 +167,17 @@
     this.clock = clock;
     this.suspects = new CrashSuspects(clock);
     suspects.parts().setListener(holds -> PartHolds.logChange(holds, clock));
-    this.timers = Executors.newSingleThreadScheduledExecutor(Relay::timerThread);
+    ScheduledThreadPoolExecutor t = new ScheduledThreadPoolExecutor(1, Relay::timerThread);
+    // A cancelled time-out would hold its request until it is due.
+    t.setRemoveOnCancelPolicy(true);
+    this.timers = t;
+    RelayMetrics metrics = new RelayMetrics(meters);
+    CallerMemory memory =
+        new CallerMemory(clock, o.callers().memoryBytes(), r -> metrics.evicted(r.name()));
+    ConnectionBound connections =
+        new ConnectionBound(
+            o.callers().maxConnections(), memory::evictStalled, () -> metrics.evicted("WAITING"));
+    metrics.reportCallers(memory, connections);
     HttpConnector.Limits limits =
         new HttpConnector.Limits(MAX_CONNECTIONS, MAX_CONNECTIONS, CONNECT_MS, MAX_RESPONSE_BYTES);
     this.client = HttpConnector.startClient("", limits, threads, SERVER_IDLE_MS);
@@ -162,17 +206,19 @@
             loads,
             new ColdStartLimiter(clock),
             new ServiceRetryBudget(clock, o.budgetWindowMs(), o.budgetRatio(), o.budgetBase()),
-            new ResponseMemoryBudget(MAX_BUFFERED_BYTES),
+            ResponseMemoryBudget.ofHeap(BUFFERED_HEAP_FRACTION),
+            memory,
+            connections,
             suspects,
             new SilentServers(caches),
-            new RelayMetrics(meters),
+            metrics,
             extensions);
     this.handler = new RelayHandler(services);
     var unused =
         timers.scheduleWithFixedDelay(
             handler::checkServers, CHECK_INTERVAL_MS, CHECK_INTERVAL_MS, TimeUnit.MILLISECONDS);
     this.server = new Server(threads);
-    this.connector = connector(o);
+    this.connector = connector(o, services);
     server.addConnector(connector);
     server.setHandler(handler);
   }
@@ -225,17 +271,25 @@
     LOG.info("drained: running={} tookMs={}", handler.unanswered(), clock.nowMs() - startMs);
   }
 
-  private ServerConnector connector(Options o) {
+  private ServerConnector connector(Options o, RelayContext services) {
     HttpConfiguration config = new HttpConfiguration();
     config.setSendServerVersion(false);
     config.setSendDateHeader(false);
     config.setUriCompliance(UriCompliance.UNSAFE);
-    ServerConnector c = new ServerConnector(server, 0, 1, new ReadAheadConnectionFactory(config));
+    config.setRequestHeaderSize(DEFAULT_MAX_HEADER_BYTES + HEADER_SLACK_BYTES);
+    ServerConnector c =
+        new ServerConnector(
+            server, 0, 1, new ReadAheadConnectionFactory(config, services.memory(), clock));
     c.setHost(o.host());
     c.setPort(o.port());
     c.setReuseAddress(true);
     c.setIdleTimeout(o.callerIdleMs() + CALLER_IDLE_GRACE_MS);
     c.setAcceptQueueSize(512);
+    c.addBean(services.connections());
+    CallerSweep sweep = new CallerSweep(services, config);
+    var unused =
+        timers.scheduleWithFixedDelay(
+            sweep, CHECK_INTERVAL_MS, CHECK_INTERVAL_MS, TimeUnit.MILLISECONDS);
     return c;
   }
 
--- a/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/RelayAttempt.java
+++ b/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/RelayAttempt.java
@@ -385,7 +385,8 @@
         .sendComplete(
             h == null ? 502 : h.status(),
             exchange.services().dialect().responseHeaders(headers),
-            buffer.toByteArray());
+            buffer.size(),
+            buffer::toByteArray);
   }
 
   private void endStream(ResponseHead h) {
--- a/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/RelayContext.java
+++ b/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/RelayContext.java
@@ -3,6 +3,7 @@
 import java.util.concurrent.ScheduledExecutorService;
 import org.cowslipyoke.http.ResponseMemoryBudget;
 import org.cowslipyoke.relay.Admission;
+import org.cowslipyoke.relay.CallerMemory;
 import org.cowslipyoke.relay.ColdStartLimiter;
 import org.cowslipyoke.relay.FleetStateHolder;
 import org.cowslipyoke.relay.PromptPlacement;
@@ -28,6 +29,8 @@
     ColdStartLimiter cold,
     ServiceRetryBudget repeats,
     ResponseMemoryBudget answers,
+    CallerMemory memory,
+    ConnectionBound connections,
     CrashSuspects suspects,
     SilentServers silentServers,
     RelayMetrics metrics,
--- a/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/RelayHandler.java
+++ b/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/RelayHandler.java
@@ -9,14 +9,13 @@
 import org.cowslipyoke.errors.ErrorKind;
 import org.cowslipyoke.errors.Failure;
 import org.cowslipyoke.relay.Admission.AdmittedRequest;
-import org.cowslipyoke.relay.DesiredState;
+import org.cowslipyoke.relay.CallerMemory;
 import org.cowslipyoke.relay.RelayRequest;
-import org.eclipse.jetty.io.Content;
+import org.eclipse.jetty.io.Connection;
 import org.eclipse.jetty.server.Handler;
 import org.eclipse.jetty.server.Request;
 import org.eclipse.jetty.server.Response;
 import org.eclipse.jetty.util.Callback;
-import org.eclipse.jetty.util.Promise;
 import org.jspecify.annotations.Nullable;
 
 /** Handles the requests of callers: admits them and starts their exchanges. */
@@ -28,9 +27,6 @@
   private static final Failure STOPPING =
       new Failure(ErrorKind.SHUTTING_DOWN, "the process stops", 100);
 
-  /** Maximum body size until a desired state was read, in bytes. */
-  private static final int DEFAULT_MAX_BODY_BYTES = 1 << 20;
-
   private final RelayContext services;
   private final Set<RelayExchange> running = ConcurrentHashMap.newKeySet();
   private final AtomicInteger unanswered = new AtomicInteger();
@@ -62,7 +58,7 @@
       try {
         x.checkServer();
       } catch (RuntimeException e) {
-        LOG.error("server not checked: request={}", x.request().id(), e);
+        LOG.error("server not checked: request={}", x.request().loggedId(), e);
       }
     }
   }
@@ -71,10 +67,10 @@
   public boolean handle(Request request, Response response, Callback callback) {
     final long startMs = services.clock().nowMs();
     request.addIdleTimeoutListener(e -> false);
-    unanswered.incrementAndGet();
-    Request.addCompletionListener(request, e -> unanswered.decrementAndGet());
+    CallerMemory.Holding memory = open(request);
+    RequestBody body = new RequestBody(request, memory, services.timers());
     CallerChannel caller =
-        new CallerChannel(request, response, callback, services.dialect(), closing);
+        new CallerChannel(request, response, callback, services.dialect(), closing, body, memory);
     Either<Failure, RelayRequest> decoded = services.dialect().decodeRequest(request);
     if (decoded.isLeft()) {
       return refuse(caller, decoded.getLeft(), null);
@@ -83,35 +79,82 @@
     if (refusing) {
       return refuse(caller, STOPPING, r);
     }
-    DesiredState d = services.state().get().desired();
-    int max = d == null ? DEFAULT_MAX_BODY_BYTES : d.maxBodyBytes();
     if (request.getLength() == 0) {
       begin(caller, r, new byte[0], startMs);
       return true;
     }
-    Content.Source.asByteArrayAsync(
-        request,
-        max,
-        new Promise.Invocable<byte[]>() {
-          @Override
-          public void succeeded(byte[] body) {
-            begin(caller, r, body, startMs);
-          }
+    Either<Failure, AdmittedRequest> admitted = services.admission().admit(r);
+    if (admitted.isLeft()) {
+      return refuse(caller, admitted.getLeft(), r);
+    }
+    memory.watch(reason -> evict(caller, body, reason));
+    body.read(
+        admitted.get().desired().maxBodyBytes(), new BodyListener(caller, memory, r, startMs));
+    body.limitTime(r.waitMs());
+    return true;
+  }
 
-          @Override
-          public void failed(Throwable e) {
-            bodyNotRead(caller, r, e);
+  /** Opens the memory of a request and closes it when its response has been written. */
+  private CallerMemory.Holding open(Request request) {
+    unanswered.incrementAndGet();
+    Connection c = request.getConnectionMetaData().getConnection();
+    services.connections().requestBegun(c);
+    CallerMemory.Holding memory =
+        c instanceof CallerConnection x ? x.takeHolding() : services.memory().open();
+    memory.unwatch();
+    if (c.getEndPoint() instanceof ReadAheadEndPoint e) {
+      e.requestBegun();
+    }
+    Request.addCompletionListener(
+        request,
+        failure -> {
+          unanswered.decrementAndGet();
+          memory.close();
+          if (c.getEndPoint() instanceof ReadAheadEndPoint e) {
+            e.requestEnded();
           }
+          services.connections().requestEnded(c);
         });
-    return true;
+    return memory;
   }
 
-  private void bodyNotRead(CallerChannel caller, RelayRequest r, Throwable e) {
-    if (e instanceof IllegalStateException) {
-      refuse(caller, Failure.of(ErrorKind.TOO_LARGE, "the body is too large"), r);
-    } else {
-      LOG.info("body not read: request={} reason={}", r.id(), e.toString());
-      caller.cut(e);
+  private static void evict(CallerChannel caller, RequestBody body, CallerMemory.Reason reason) {
+    switch (reason) {
+      case MEMORY -> body.refuse(RequestBody.noMemory());
+      case PACE -> body.refuse(RequestBody.late());
+      default -> caller.cut(new IllegalStateException("others need the connection"));
+    }
+  }
+
+  private final class BodyListener implements RequestBody.Listener {
+    private final CallerChannel caller;
+    private final CallerMemory.Holding memory;
+    private final RelayRequest request;
+    private final long startMs;
+
+    BodyListener(
+        CallerChannel caller, CallerMemory.Holding memory, RelayRequest request, long startMs) {
+      this.caller = caller;
+      this.memory = memory;
+      this.request = request;
+      this.startMs = startMs;
+    }
+
+    @Override
+    public void complete(byte[] body) {
+      memory.unwatch();
+      begin(caller, request, body, startMs);
+    }
+
+    @Override
+    public void refused(Failure f) {
+      refuse(caller, f, request);
+    }
+
+    @Override
+    public void failed(Throwable cause) {
+      LOG.info("body not read: request={} reason={}", request.loggedId(), cause.toString());
+      caller.cut(cause);
     }
   }
 
@@ -132,7 +175,7 @@
       running.add(x);
       x.start();
     } catch (RuntimeException e) {
-      LOG.error("request failed: request={}", r.id(), e);
+      LOG.error("request failed: request={}", r.loggedId(), e);
       caller.sendFailure(Failure.of(ErrorKind.INTERNAL, "the entry failed"), r.id());
     }
   }
@@ -141,7 +184,7 @@
     services.metrics().own(f.kind());
     LOG.info(
         "refused: request={} kind={} reason={} stateAgeMs={}",
-        r == null ? "" : r.id(),
+        r == null ? "" : r.loggedId(),
         f.kind(),
         f.message(),
         services.state().operatorConfigAgeMs());
--- a/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/RelayMetrics.java
+++ b/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/RelayMetrics.java
@@ -5,6 +5,7 @@
 import io.micrometer.core.instrument.Timer;
 import java.time.Duration;
 import org.cowslipyoke.errors.ErrorKind;
+import org.cowslipyoke.relay.CallerMemory;
 
 /** Counters and latency histograms of the relay. */
 final class RelayMetrics {
@@ -39,6 +40,18 @@
     counter("cowslipyoke_relay_suspects", "decision", decision).increment();
   }
 
+  /** Counts a caller's request that was refused or closed for its use of memory. */
+  void evicted(String reason) {
+    counter("cowslipyoke_relay_callers_evicted", "reason", reason).increment();
+  }
+
+  /** Reports the memory that is held for callers and their open connections. */
+  void reportCallers(CallerMemory memory, ConnectionBound connections) {
+    meters.gauge("cowslipyoke_relay_caller_memory_used", memory, CallerMemory::used);
+    meters.gauge("cowslipyoke_relay_caller_memory_size", memory, CallerMemory::size);
+    meters.gauge("cowslipyoke_relay_caller_connections", connections, ConnectionBound::open);
+  }
+
   private Counter counter(String name, String... tags) {
     return Counter.builder(name).tags(tags).register(meters);
   }
--- a/org.cowslipyoke.http/src/main/java/org/cowslipyoke/http/ClientFactory.java
+++ b/org.cowslipyoke.http/src/main/java/org/cowslipyoke/http/ClientFactory.java
@@ -14,6 +14,12 @@
 /** Creates the HTTP clients of a process. */
 final class ClientFactory {
 
+  /**
+   * Maximum size of the head of a request in bytes: that of a caller's head in the users' limits,
+   * 16 KiB, and as much for headers that the process adds.
+   */
+  private static final int MAX_REQUEST_HEAD_BYTES = 32 << 10;
+
   private ClientFactory() {}
 
   /** Starts a client as described at {@link HttpConnector#startClient}. */
@@ -24,6 +30,7 @@
     c.setExecutor(threads);
     c.setMaxConnectionsPerDestination(limits.maxConnections());
     c.setMaxRequestsQueuedPerDestination(limits.maxQueued());
+    c.setMaxRequestHeadersSize(MAX_REQUEST_HEAD_BYTES);
     c.setMaxResponseHeadersSize(HttpConnector.MAX_HEAD_BYTES);
     c.setConnectTimeout(limits.connectTimeoutMs());
     c.setAddressResolutionTimeout(limits.connectTimeoutMs());
--- a/org.cowslipyoke/src/main/java/org/cowslipyoke/errors/ErrorKind.java
+++ b/org.cowslipyoke/src/main/java/org/cowslipyoke/errors/ErrorKind.java
@@ -19,6 +19,8 @@
   NOT_FOUND(404, Outcome.NOT_RUN, false),
   /** The request body, frame or document exceeds its size or depth limit. */
   TOO_LARGE(413, Outcome.NOT_RUN, false),
+  /** The request body did not arrive in time; the request did not run. */
+  REQUEST_TIMEOUT(408, Outcome.NOT_RUN, true),
   /** A configuration change conflicted with a concurrent change of the same section. */
   CONFLICT(409, Outcome.NOT_RUN, true),
   /** The idempotency key was used before with a different request. */
--- a/org.cowslipyoke/src/main/java/org/cowslipyoke/relay/RelayRequest.java
+++ b/org.cowslipyoke/src/main/java/org/cowslipyoke/relay/RelayRequest.java
@@ -22,4 +22,13 @@
     long waitMs,
     @Nullable String key,
     @Nullable Prompt prompt,
-    @Nullable String lastEventId) {}
+    @Nullable String lastEventId) {
+
+  /** Maximum length of an id in a log line; callers may send ids as long as a head may be. */
+  private static final int MAX_LOGGED_ID = 128;
+
+  /** Returns the id for log lines, shortened if it is very long. */
+  public String loggedId() {
+    return id.length() <= MAX_LOGGED_ID ? id : id.substring(0, MAX_LOGGED_ID);
+  }
+}
