Take reset probes for a sign of life and bound probes for the fleet

Change: a reset or refused probe counts as heard; probes are limited for all entries together; the price of moving lies between both customers'.

FailoverHttpTest 9, EngineLivenessTest 8, BackupPlannerTest 7, RequestAttemptsTest 10 pass.

--- a/org.cowslipyoke/src/main/java/org/cowslipyoke/failover/BackupPlanner.java
+++ b/org.cowslipyoke/src/main/java/org/cowslipyoke/failover/BackupPlanner.java
@@ -43,10 +43,10 @@
   public record Prices(double transferMsPerGb, double answerMs, double savedFraction) {
 
     /**
-     * Prices of the first deployments: moving 20 GB costs about as much as losing one answer, and
-     * most answers that go on are late.
+     * Prices of the first deployments: moving 21 to 60 GB costs as much as losing one answer, and
+     * about half of the answers that go on are late.
      */
-    public static final Prices DEFAULT = new Prices(50, 1_000, 0.5);
+    public static final Prices DEFAULT = new Prices(20, 1_000, 0.5);
   }
 
   /** Why a run has no copy, or that it has one. */
--- a/org.cowslipyoke/src/main/java/org/cowslipyoke/failover/EngineLiveness.java
+++ b/org.cowslipyoke/src/main/java/org/cowslipyoke/failover/EngineLiveness.java
@@ -52,13 +52,13 @@
   /** Time between ticks above which this process was stopped meanwhile, in milliseconds. */
   static final long MAX_TICK_MS = 60;
 
-  /** Probes per second and their burst, as each is priced. */
-  static final double PROBES_PER_S = 10;
+  /** Probes per second of all entries together and the burst of one, as each is priced. */
+  static final double PROBES_PER_S = 80;
 
-  static final double PROBE_BURST = 40;
+  static final double PROBE_BURST = 24;
 
   /** Probes kept for engines that have not answered one or that another entry has found lost. */
-  static final double RESERVED_PROBES = 20;
+  static final double RESERVED_PROBES = 14;
 
   /** Time after which an engine without attempts is forgotten, in milliseconds. */
   static final long FORGET_MS = 5_000;
@@ -110,7 +110,7 @@
     }
   }
 
-  /** Records that a server answered a probe. */
+  /** Records that a server answered a probe, or refused or reset its connection. */
   public synchronized void probeAnswered(BackendServer server) {
     watch(server).probeAnswered(clock.nowMs());
   }
@@ -168,8 +168,8 @@
   /** Returns the probes that are due and the engines that are now lost. */
   public synchronized Actions tick() {
     long now = clock.nowMs();
-    probeTokens =
-        Math.min(PROBE_BURST, probeTokens + Math.max(0, now - tickMs) * PROBES_PER_S / 1_000);
+    double earned = Math.max(0, now - tickMs) * PROBES_PER_S / 1_000 / state.get().entries();
+    probeTokens = Math.min(PROBE_BURST, probeTokens + earned);
     if (now - tickMs > MAX_TICK_MS) {
       resumed(now);
     }
