--- a/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/PeerReportExchange.java
+++ b/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/PeerReportExchange.java
@@ -130,10 +130,7 @@
     return traffic;
   }
 
-  /**
-   * Replaces the entries to which reports are sent and from which reports are accepted; their
-   * failure domains are not known, so that each gets its reports from this entry itself.
-   */
+  /** Replaces the other entries, whose failure domains are not known: none relays reports. */
   public void setPeers(List<InetSocketAddress> addresses) {
     setMembers("", addresses.stream().map(a -> new Peer(a.toString(), "", a)).toList());
   }
@@ -317,8 +314,7 @@
     String problem = sendTo(kind, bytes, plan.direct());
     for (ReportFanout.Relayed r : plan.relayed()) {
       byte[] relayed = RelayedReportCodec.encode(r.token(), bytes);
-      String failed = sendTo(kind, relayed, List.of(r.address()));
-      problem = failed.isEmpty() ? problem : failed;
+      problem += sendTo(kind, relayed, List.of(r.address()));
     }
     return problem;
   }
--- a/org.cowslipyoke.test/src/test/java/org/cowslipyoke/relay/DomainSimulation.java
+++ b/org.cowslipyoke.test/src/test/java/org/cowslipyoke/relay/DomainSimulation.java
@@ -278,11 +278,7 @@
   private void list(int domain, boolean in) {
     for (Engine e : engines.values()) {
       if (e.server.failureDomain().equals("d" + domain)) {
-        if (in) {
-          listed.add(e.server.id());
-        } else {
-          listed.remove(e.server.id());
-        }
+        var unused = in ? listed.add(e.server.id()) : listed.remove(e.server.id());
       }
     }
     updateServers();
@@ -334,8 +330,8 @@
     Optional<PromptPlan> plan =
         e.placement.choose(p, null, s, group, s.available(RelayFixture.GROUP));
     Served count = elapsedMs() >= countFromMs ? served.get(domain) : new Served();
-    double expectedMs = plan.orElseThrow().estimateMs();
-    if (LoadShedder.decide(route, 0, route.timeoutMs(), expectedMs).isPresent()) {
+    double expected = plan.orElseThrow().estimateMs();
+    if (LoadShedder.decide(route, 0, route.timeoutMs(), expected).isPresent()) {
       count.refused++;
       return;
     }
