Count overtaken work in the choice of an engine

The expected time of an urgent prompt no longer counts less urgent work, so the order of the engines by affinity decided, and urgent prompts went to busy engines while others were idle. The cost of an engine now counts that work, the expected time still doesn't. Late prompts need one idle engine also in a small fleet, and nothing waits longer than its objective, since what is held and then refused costs its caller more.

--- a/org.cowslipyoke/src/main/java/org/cowslipyoke/relay/PromptAdmission.java
+++ b/org.cowslipyoke/src/main/java/org/cowslipyoke/relay/PromptAdmission.java
@@ -59,7 +59,7 @@
   static final long MIN_PATIENCE_MS = 2_000;
 
   /** Maximum time that a prompt waits at the entry, in objectives of its route. */
-  static final double MAX_WAIT_OBJECTIVES = 2;
+  static final double MAX_WAIT_OBJECTIVES = 1;
 
   /** Minimum retry delay suggested to callers, in milliseconds. */
   static final long MIN_RETRY_MS = 50;
@@ -230,7 +230,7 @@
     }
 
     boolean isSpare() {
-      return idle >= LATE_IDLE_FRACTION * engines;
+      return idle > 0 && idle >= Math.floor(LATE_IDLE_FRACTION * engines);
     }
   }
 
--- a/org.cowslipyoke/src/main/java/org/cowslipyoke/relay/PromptPlacement.java
+++ b/org.cowslipyoke/src/main/java/org/cowslipyoke/relay/PromptPlacement.java
@@ -218,6 +218,7 @@
     }
     double expected = expectedMs(context, server, load, work) + fetched * fetchMsPerToken(context);
     double cost = expected + penaltyMs(context, server, old) + RANK_MS * position;
+    cost += overtakenMs(context, server, load, work);
     return new ScoredServer(server, weights, salt, held, fetched, work, load, expected, cost);
   }
 
@@ -235,6 +236,21 @@
     return expected;
   }
 
+  /**
+   * Returns the time of the less urgent work at a server that the request overtakes, in
+   * milliseconds. It makes the server less preferable, because the request delays that work, and
+   * preempts it if the memory is full.
+   */
+  private double overtakenMs(
+      PlacementContext context, BackendServer server, Load load, PromptWork work) {
+    EngineProfile profile = profiles.of(server);
+    long ahead = EngineLatencyModel.prefillTokensAhead(load, work.rank(), profile);
+    double prefill = profile.prefillMs(load.prefillTokens() - ahead, load.inFlight());
+    long added = loads.of(server).addedTokens(work);
+    double memory = memoryWaitMs(context, load, added);
+    return prefill + memory - memoryWaitMs(context, load.upTo(work.rank()), added);
+  }
+
   /** Returns the penalties of a server in milliseconds that need not delay the request. */
   private double penaltyMs(PlacementContext context, BackendServer server, boolean oldWeights) {
     ServerLoad own = loads.of(server);
