--- a/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/RequestPlacement.java
+++ b/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/RequestPlacement.java
@@ -57,6 +57,10 @@
     }
   }
 
+  private boolean isCompeting() {
+    return admitted.desired().routes().isCompeting(service);
+  }
+
   @Nullable String organisation() {
     OrganisationPolicy t = admitted.tenancy();
     return t == null ? null : t.organisation();
@@ -65,7 +69,7 @@
   /** Records that the request has arrived. */
   void recordArrival() {
     services.repeats().recordRequest(service);
-    if (request.prompt() != null) {
+    if (request.prompt() != null && isCompeting()) {
       services.prompts().recordArrival(applicant(request.prompt(), false));
     }
   }
@@ -79,7 +83,7 @@
 
   /** Returns the priority that servers get. */
   int priorityAtServer() {
-    return request.prompt() == null ? admitted.priority() : rank;
+    return request.prompt() != null && isCompeting() ? rank : admitted.priority();
   }
 
   /**
@@ -104,7 +108,10 @@
       return s.isPresent() ? result(state, group, s.get(), null, none) : Result.refused(none);
     }
     Applicant a = applicant(request.prompt(), waiting);
-    Verdict v = services.prompts().decide(a, state, group, candidates);
+    Verdict v =
+        isCompeting()
+            ? services.prompts().decide(a, state, group, candidates)
+            : services.prompts().decideAlike(a, state, group, candidates);
     if (v.plan() != null) {
       return result(state, group, v.plan().server(), v.plan(), none);
     }
--- a/org.cowslipyoke/src/main/java/org/cowslipyoke/relay/PromptAdmission.java
+++ b/org.cowslipyoke/src/main/java/org/cowslipyoke/relay/PromptAdmission.java
@@ -59,7 +59,7 @@
   static final long MIN_PATIENCE_MS = 2_000;
 
   /** Maximum time that a prompt waits at the entry, in objectives of its route. */
-  static final double MAX_WAIT_OBJECTIVES = 2;
+  static final double MAX_WAIT_OBJECTIVES = 1;
 
   /** Minimum retry delay suggested to callers, in milliseconds. */
   static final long MIN_RETRY_MS = 50;
@@ -193,6 +193,25 @@
     return new Verdict(plan, null, Reason.NONE, plan.estimateMs());
   }
 
+  /**
+   * Decides on a prompt of a service whose prompts do not compete by urgency: it runs now if it can
+   * be in time and is refused at once otherwise.
+   */
+  public Verdict decideAlike(
+      Applicant a, FleetState state, ServerGroup group, List<BackendServer> candidates) {
+    Optional<PromptPlan> plan = choose(a, state, group, candidates, EngineRoom.ANY);
+    if (plan.isEmpty()) {
+      return new Verdict(null, noServer(), Reason.NO_SERVER, 0);
+    }
+    double estimateMs = plan.get().estimateMs();
+    Optional<Failure> late =
+        a.begun()
+            ? Optional.empty()
+            : LoadShedder.decide(a.route(), a.elapsedMs(), a.leftMs(), estimateMs);
+    return late.map(f -> new Verdict(null, f, Reason.TOO_LATE, estimateMs))
+        .orElseGet(() -> new Verdict(plan.get(), null, Reason.NONE, estimateMs));
+  }
+
   private Optional<PromptPlan> choose(
       Applicant a,
       FleetState state,
@@ -230,7 +249,7 @@
     }
 
     boolean isSpare() {
-      return idle >= LATE_IDLE_FRACTION * engines;
+      return idle > 0 && idle >= Math.floor(LATE_IDLE_FRACTION * engines);
     }
   }
 
--- a/org.cowslipyoke/src/main/java/org/cowslipyoke/relay/RouteTable.java
+++ b/org.cowslipyoke/src/main/java/org/cowslipyoke/relay/RouteTable.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.Set;
 
 /** Routes by host and longest path prefix. Immutable. */
 public final class RouteTable {
@@ -16,6 +17,8 @@
   private final Map<String, Long> shortestObjectives = new HashMap<>();
   private final Map<String, Long> longestObjectiveMs = new HashMap<>();
 
+  private final Set<String> competing;
+
   /** Creates a table. */
   public RouteTable(List<Route> routes) {
     Map<String, List<Route>> map = new HashMap<>();
@@ -31,6 +34,7 @@
     Comparator<Route> longestFirst = Comparator.comparingInt(r -> -r.prefix().length());
     map.values().forEach(l -> l.sort(longestFirst));
     this.byHost = map;
+    this.competing = findCompeting(routes);
   }
 
   /**
@@ -60,6 +64,34 @@
     return longestObjectiveMs.getOrDefault(service, 0L);
   }
 
+  /**
+   * Returns whether prompts of a service compete by urgency: some routes are more urgent than
+   * others and have a much shorter objective, so that they are late behind work that is still in
+   * time.
+   */
+  public boolean isCompeting(String service) {
+    return competing.contains(service);
+  }
+
+  private Set<String> findCompeting(List<Route> routes) {
+    Map<String, List<Route>> byService = new HashMap<>();
+    for (Route r : routes) {
+      r.shares()
+          .forEach(s -> byService.computeIfAbsent(s.service(), k -> new ArrayList<>()).add(r));
+    }
+    byService.values().removeIf(l -> l.stream().noneMatch(a -> isLateBehind(a, l)));
+    return Set.copyOf(byService.keySet());
+  }
+
+  private static boolean isLateBehind(Route urgent, List<Route> others) {
+    return urgent.objectiveMs() > 0
+        && others.stream()
+            .anyMatch(
+                o ->
+                    urgent.priority() < o.priority()
+                        && UrgencyRank.SHORT_FACTOR * urgent.objectiveMs() <= o.objectiveMs());
+  }
+
   /** Returns the number of routes. */
   public int size() {
     return byHost.values().stream().mapToInt(List::size).sum();
