--- a/org.cowslipyoke.pgm/src/main/java/org/cowslipyoke/pgm/Metrics.java
+++ b/org.cowslipyoke.pgm/src/main/java/org/cowslipyoke/pgm/Metrics.java
@@ -12,9 +12,9 @@
 
   private static final String PREFIX = "cowslipyoke_";
 
-  /** Parts of the names of the metrics in the summary: allowance, queue and links. */
+  /** Parts of the names of the metrics in the summary: allowance, queue, links and rollouts. */
   private static final List<String> SUMMARY_NAME_PARTS =
-      List.of("allowance", "queued", "queue_", "link");
+      List.of("allowance", "queued", "queue_", "link", "rollout_");
 
   private final Map<String, Double> values;
 
@@ -45,7 +45,9 @@
     return n;
   }
 
-  /** Returns the non-zero allowance, queue and link metrics except buckets, on one line. */
+  /**
+   * Returns the non-zero allowance, queue, link and rollout metrics except buckets, on one line.
+   */
   String summary() {
     List<String> parts = new ArrayList<>();
     values.forEach(
--- a/org.cowslipyoke/src/main/java/org/cowslipyoke/rollout/BadAnswers.java
+++ b/org.cowslipyoke/src/main/java/org/cowslipyoke/rollout/BadAnswers.java
@@ -4,15 +4,18 @@
 import java.util.Locale;
 import java.util.Map;
 
-/** Bad answers and all answers, by server of the target and for the old versions together. */
+/**
+ * Bad answers and all answers, by failure domain or server of the target and for the old versions
+ * together.
+ */
 final class BadAnswers {
 
-  private final Map<String, long[]> servers = new HashMap<>();
+  private final Map<String, long[]> groups = new HashMap<>();
   private long oldBad;
   private long oldAnswers;
 
-  void addTarget(String server, long bad, long answers) {
-    long[] c = servers.computeIfAbsent(server, s -> new long[2]);
+  void addTarget(String group, long bad, long answers) {
+    long[] c = groups.computeIfAbsent(group, s -> new long[2]);
     c[0] += bad;
     c[1] += answers;
   }
@@ -23,18 +26,18 @@
   }
 
   void add(BadAnswers o) {
-    o.servers.forEach((s, c) -> addTarget(s, c[0], c[1]));
+    o.groups.forEach((s, c) -> addTarget(s, c[0], c[1]));
     addOld(o.oldBad, o.oldAnswers);
   }
 
   /** Returns the bad answers of the target. */
   long bad() {
-    return servers.values().stream().mapToLong(c -> c[0]).sum();
+    return groups.values().stream().mapToLong(c -> c[0]).sum();
   }
 
   /** Returns the answers of the target. */
   long answers() {
-    return servers.values().stream().mapToLong(c -> c[1]).sum();
+    return groups.values().stream().mapToLong(c -> c[1]).sum();
   }
 
   /** Returns the fraction of bad answers of the old versions. */
@@ -42,11 +45,11 @@
     return oldAnswers > 0 ? (double) oldBad / oldAnswers : 0;
   }
 
-  /** Returns the counts without the server of the target that has most bad answers. */
+  /** Returns the counts without the group of the target that has most bad answers. */
   BadAnswers withoutWorst() {
     String worst = "";
     long most = -1;
-    for (var e : servers.entrySet()) {
+    for (var e : groups.entrySet()) {
       if (e.getValue()[0] > most) {
         most = e.getValue()[0];
         worst = e.getKey();
@@ -54,7 +57,7 @@
     }
     BadAnswers rest = new BadAnswers();
     rest.add(this);
-    rest.servers.remove(worst);
+    rest.groups.remove(worst);
     return rest;
   }
 
--- a/org.cowslipyoke/src/main/java/org/cowslipyoke/rollout/EntryRollouts.java
+++ b/org.cowslipyoke/src/main/java/org/cowslipyoke/rollout/EntryRollouts.java
@@ -46,7 +46,7 @@
   private final RandomGenerator random;
   private final RolloutListener listener;
   private final long startedMs;
-  private final RolloutTable table = new RolloutTable();
+  private final RolloutTable table;
   private final VersionSightings sightings;
   private final AttemptTracker tracker;
   private final Map<String, LocalRollout> local = new HashMap<>();
@@ -73,6 +73,7 @@
     this.listener = listener;
     this.clock = clock;
     this.bounds = bounds;
+    this.table = new RolloutTable(bounds.rollbackMs());
     this.vm = vm;
     this.random = random;
     this.startedMs = clock.wallMs();
@@ -161,7 +162,8 @@
     long now = clock.nowMs();
     for (LocalRollout r : local.values()) {
       tracker.countOverdue(r, VersionComparison.slowLimits(r.evidence), now);
-      int targets = VersionChoice.only(state.available(r.state.service()), r.state.target()).size();
+      List<BackendServer> targets =
+          VersionChoice.only(state.available(r.state.service()), r.state.target());
       if (r.evaluate(vm, startedMs, now, targets)) {
         urgent = true;
         listener.halted(progress(r), r.halted());
@@ -263,7 +265,7 @@
     if (retry || r.isOversampled(request.route().name()) || !r.allowance.tryTake()) {
       return old;
     }
-    return VersionChoice.canaries(target, state, s, clock.wallMs());
+    return VersionChoice.canaries(target, state, s, r.failingServers(), clock.wallMs());
   }
 
   @Override
--- a/org.cowslipyoke/src/main/java/org/cowslipyoke/rollout/Evidence.java
+++ b/org.cowslipyoke/src/main/java/org/cowslipyoke/rollout/Evidence.java
@@ -18,6 +18,9 @@
 
   private static final long SLOT_MS = 250;
 
+  private static final int FAILING_MIN = 3;
+  private static final int FAILING_RATIO = 4;
+
   /** Maximum number of entries and series that are kept; above the largest planned deployment. */
   private static final int MAX_SOURCES = 1_024;
 
@@ -92,6 +95,21 @@
     return routes;
   }
 
+  /** Returns the servers of the target of whose answers at least a quarter and three failed. */
+  Set<String> failingServers() {
+    Map<String, Tally> byServer = new HashMap<>();
+    total.forEach(
+        (series, t) -> {
+          if (series.isTarget()) {
+            byServer.computeIfAbsent(series.server(), s -> new Tally()).add(t, 1);
+          }
+        });
+    byServer
+        .values()
+        .removeIf(t -> t.failures() < FAILING_MIN || FAILING_RATIO * t.failures() < t.answers());
+    return Set.copyOf(byServer.keySet());
+  }
+
   /** Returns the number of answers of the target by route, for all routes that have answers. */
   Map<String, Long> targetAnswers() {
     Map<String, Long> answers = new HashMap<>();
--- a/org.cowslipyoke/src/main/java/org/cowslipyoke/rollout/LocalRollout.java
+++ b/org.cowslipyoke/src/main/java/org/cowslipyoke/rollout/LocalRollout.java
@@ -4,6 +4,8 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
+import org.cowslipyoke.relay.BackendServer;
 import org.cowslipyoke.rollout.RolloutReport.ServiceReport;
 
 /** One entry's part in a running rollout. Not thread-safe. */
@@ -41,6 +43,7 @@
   private Verdict verdict = Verdict.NONE;
   private String halted = "";
   private Map<String, Long> routeAnswers = Map.of();
+  private Set<String> failing = Set.of();
 
   LocalRollout(RolloutState state, TargetAllowance allowance) {
     this.state = state;
@@ -87,9 +90,9 @@
   /**
    * Compares the versions; returns whether this entry has to stop now.
    *
-   * @param targets number of servers of the target that may get work
+   * @param targets servers of the target that may get work
    */
-  boolean evaluate(String vm, long startedMs, long nowMs, int targets) {
+  boolean evaluate(String vm, long startedMs, long nowMs, List<BackendServer> targets) {
     if (!changed) {
       return false;
     }
@@ -97,6 +100,7 @@
     evidence.accept(vm, startedMs, own, nowMs);
     verdict = new VersionComparison(evidence, nowMs, state.step().isAll(), targets).verdict();
     routeAnswers = evidence.targetAnswers();
+    failing = evidence.failingServers();
     if (halted.isEmpty() && !verdict.fault().isEmpty()) {
       halted = verdict.fault();
       return true;
@@ -118,6 +122,11 @@
         && !allowance.isFull();
   }
 
+  /** Returns the servers of the target that fail too often to get more canary requests. */
+  Set<String> failingServers() {
+    return failing;
+  }
+
   Verdict verdict() {
     return verdict;
   }
--- a/org.cowslipyoke/src/main/java/org/cowslipyoke/rollout/RolloutTable.java
+++ b/org.cowslipyoke/src/main/java/org/cowslipyoke/rollout/RolloutTable.java
@@ -21,9 +21,13 @@
   /** Minimum time between two reads, in milliseconds. */
   static final long RETRY_MS = 250;
 
-  /** Age above which the copy is not current, in milliseconds. */
+  /** Maximum age of a current copy, in milliseconds. */
   public static final long MAX_AGE_MS = 2_000;
 
+  /** Maximum age as a fraction of the time within which a rollback must be in force. */
+  private static final double ROLLBACK_FRACTION = 0.4;
+
+  private final long maxAgeMs;
   private Map<String, RolloutState> states = Map.of();
   private long version = -1;
   private long newestHeard = -1;
@@ -33,6 +37,23 @@
   private long readMs = Long.MIN_VALUE / 2;
   private boolean readNow;
 
+  /**
+   * Creates a copy that has not been read.
+   *
+   * @param rollbackMs time within which a rollback must be in force, in milliseconds
+   */
+  RolloutTable(long rollbackMs) {
+    this.maxAgeMs = Math.min(MAX_AGE_MS, Math.round(ROLLBACK_FRACTION * rollbackMs));
+  }
+
+  /**
+   * Records that this process was paused, so that its copy may be old although its monotonic clock
+   * has not advanced.
+   */
+  public synchronized void expire() {
+    asOfMs = Long.MIN_VALUE / 2;
+  }
+
   /**
    * Applies a read of the whole table.
    *
@@ -97,7 +118,7 @@
 
   /** Returns whether no newer state can be in force for long. */
   synchronized boolean isCurrent(long nowMs) {
-    return version >= 0 && newestHeard <= version && nowMs - asOfMs <= MAX_AGE_MS;
+    return version >= 0 && newestHeard <= version && nowMs - asOfMs <= maxAgeMs;
   }
 
   /**
@@ -107,7 +128,7 @@
    */
   synchronized boolean isRecent(long nowMs) {
     return version >= 0
-        && nowMs - asOfMs <= MAX_AGE_MS
+        && nowMs - asOfMs <= maxAgeMs
         && (newestHeard <= version || nowMs - newestHeardMs <= READ_MS);
   }
 
--- a/org.cowslipyoke/src/main/java/org/cowslipyoke/rollout/VersionChoice.java
+++ b/org.cowslipyoke/src/main/java/org/cowslipyoke/rollout/VersionChoice.java
@@ -2,7 +2,10 @@
 
 import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
+import java.util.Set;
 import org.cowslipyoke.relay.BackendServer;
 import org.cowslipyoke.relay.FleetState;
 
@@ -60,12 +63,30 @@
    * about the load that it has with all requests, so that a fault under load shows. They change
    * every {@link #TURN_MS}, so that a bad server can be told from a bad version.
    *
+   * @param failing incarnations that are left out while there are others, so that the next one
+   *     shows soon whether the version fails or only a server
    * @param wallMs wall time, by which the entries choose about the same
    */
   static List<BackendServer> canaries(
-      List<BackendServer> target, FleetState state, RolloutState s, long wallMs) {
-    List<BackendServer> listed = new ArrayList<>(only(state.available(s.service()), s.target()));
+      List<BackendServer> target,
+      FleetState state,
+      RolloutState s,
+      Set<String> failing,
+      long wallMs) {
+    List<BackendServer> all = only(state.available(s.service()), s.target());
+    List<BackendServer> listed = new ArrayList<>(all);
+    listed.removeIf(x -> failing.contains(x.incarnation()));
+    if (listed.isEmpty()) {
+      listed.addAll(all);
+    }
     listed.sort(Comparator.comparing(BackendServer::incarnation));
+    // One server of each failure domain in turn, so that a domain can be told from a version.
+    Map<String, Integer> inDomain = new HashMap<>();
+    Map<String, Integer> round = new HashMap<>();
+    for (BackendServer x : listed) {
+      round.put(x.incarnation(), inDomain.merge(x.failureDomain(), 1, Integer::sum));
+    }
+    listed.sort(Comparator.comparingInt(x -> round.getOrDefault(x.incarnation(), 0)));
     int count = Math.max(1, (int) Math.round(s.share() * listed.size()));
     int first = (int) Math.floorMod(wallMs / TURN_MS * count, (long) listed.size());
     List<BackendServer> chosen = new ArrayList<>();
--- a/org.cowslipyoke/src/main/java/org/cowslipyoke/rollout/VersionComparison.java
+++ b/org.cowslipyoke/src/main/java/org/cowslipyoke/rollout/VersionComparison.java
@@ -1,6 +1,10 @@
 package org.cowslipyoke.rollout;
 
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
+import org.cowslipyoke.relay.BackendServer;
 
 /**
  * Comparison of the target version with the old ones, which were served at the same time, by
@@ -12,15 +16,18 @@
   static final double MIN_SLOW_EXCESS = 0.1;
 
   /**
-   * Bad answers without the worst server at which the target is stopped whatever the tests say. The
-   * platform counts from the 50th; answers on the way and lost reports need the margin.
+   * Bad answers without the worst failure domain or server at which the target is stopped whatever
+   * the tests say. The platform counts from the 50th; answers on the way and lost reports need the
+   * margin.
    */
   static final int MAX_BAD = 20;
 
   /** Limit at the old versions' own fraction of bad answers, as a multiple of it. */
   private static final double MAX_BAD_FACTOR = 1.5;
 
-  /** Probability of a difference by chance without the worst server of the target. */
+  /**
+   * Probability of a difference by chance without the worst failure domain or server of the target.
+   */
   private static final double ALPHA_WITHOUT_WORST = 0.02;
 
   /** Fractions of the old versions' answers that lie above the limits for slow ones. */
@@ -70,20 +77,27 @@
   private final Evidence evidence;
   private final long nowMs;
   private final boolean allMoved;
+
+  /** Whether the target has one server, whose faults are then taken for those of the version. */
   private final boolean single;
 
+  /** Failure domain of each server of the target; empty if all are in one. */
+  private final Map<String, String> domains;
+
   /**
    * Creates a comparison.
    *
    * @param allMoved whether all requests go to the target
-   * @param targets number of servers of the target that may get work; if there is only one, its
-   *     faults are taken for those of the version
+   * @param targets servers of the target that may get work
    */
-  VersionComparison(Evidence evidence, long nowMs, boolean allMoved, int targets) {
+  VersionComparison(Evidence evidence, long nowMs, boolean allMoved, List<BackendServer> targets) {
     this.evidence = evidence;
     this.nowMs = nowMs;
     this.allMoved = allMoved;
-    this.single = targets <= 1;
+    this.single = targets.size() <= 1;
+    Map<String, String> domains = new HashMap<>();
+    targets.forEach(t -> domains.put(t.incarnation(), t.failureDomain()));
+    this.domains = new HashSet<>(domains.values()).size() > 1 ? domains : Map.of();
   }
 
   Verdict verdict() {
@@ -147,7 +161,7 @@
     span.forEach(
         (s, t) -> {
           if (s.isTarget() && s.route().equals(route)) {
-            c.addTarget(s.server(), t.failures(), t.answers());
+            c.addTarget(domains.getOrDefault(s.server(), s.server()), t.failures(), t.answers());
           }
         });
     Tally old = old(route, span);
@@ -166,7 +180,7 @@
     span.forEach(
         (s, t) -> {
           if (s.isTarget() && s.route().equals(route)) {
-            c.addTarget(s.server(), t.above(limit), t.timed());
+            c.addTarget(domains.getOrDefault(s.server(), s.server()), t.above(limit), t.timed());
           }
         });
     c.addOld(old.above(limit), old.timed());
