Accept calls to servers that have stated nothing

Change: a state begins with the time at which it is created.

Result: ServerNoticesTest.serverWithoutNoticeAcceptsCalls guards against it; ServerNoticesTest, ServerNoticesHttpTest and OrderSenderTest pass.

--- a/org.cowslipyoke.test/src/test/java/org/cowslipyoke/relay/ServerNoticesTest.java
+++ b/org.cowslipyoke.test/src/test/java/org/cowslipyoke/relay/ServerNoticesTest.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
+import java.util.stream.LongStream;
 import org.cowslipyoke.fake.ManualClock;
 import org.cowslipyoke.relay.AttemptObserver.Attempt;
 import org.cowslipyoke.relay.AttemptObserver.Ended;
@@ -98,7 +99,7 @@
     notices.headReceived(attempt(a), backOff(4_000));
     notices.headReceived(attempt(b), backOff(1_000));
     long distinct =
-        java.util.stream.LongStream.range(0, 50)
+        LongStream.range(0, 50)
             .map(i -> remaining(a, b).retryAfterMs())
             .peek(ms -> assertTrue(ms >= 1_000 && ms <= 1_250, "delay " + ms))
             .distinct()
@@ -132,6 +133,15 @@
     }
   }
 
+  /** Guards against calls that are withheld from a server that has stated nothing. */
+  @Test
+  void serverWithoutNoticeAcceptsCalls() {
+    BackendServer a = server("a", 1);
+    notices.started(attempt(a));
+    assertEquals(0, notices.backOffMs(a));
+    assertEquals(0, notices.backingOffCount());
+  }
+
   /** Guards against a 200 with a delay, or a 503 without one, that closes a server. */
   @Test
   void otherResponsesCloseNothing() {
--- a/org.cowslipyoke/src/main/java/org/cowslipyoke/relay/ServerNotices.java
+++ b/org.cowslipyoke/src/main/java/org/cowslipyoke/relay/ServerNotices.java
@@ -42,12 +42,16 @@
 
   private static final class State {
     private boolean leaving;
-    private long closedUntilMs = Long.MIN_VALUE;
+    private long closedUntilMs;
 
     /** Maximum number of requests in flight after a back-off, 0 for no limit. */
     private int permits;
 
     private int inFlight;
+
+    State(long nowMs) {
+      closedUntilMs = nowMs;
+    }
   }
 
   private final Clock clock;
@@ -193,6 +197,6 @@
   }
 
   private State state(BackendServer server) {
-    return states.get(server.incarnation(), k -> new State());
+    return states.get(server.incarnation(), k -> new State(clock.nowMs()));
   }
 }
