Share one rank only among prompts that do not compete

Change: RequestPlacement.rankOf decides whether ranks apply; routes of the same priority with much different objectives compete as well.

Result: RankedLoadTest, PromptAdmissionTest and RelayHttpTest pass.

--- a/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/RelayExchange.java
+++ b/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/RelayExchange.java
@@ -26,7 +26,6 @@
 import org.cowslipyoke.relay.RequestLifecycle;
 import org.cowslipyoke.relay.RequestLifecycle.Phase;
 import org.cowslipyoke.relay.Route;
-import org.cowslipyoke.relay.UrgencyRank;
 import org.cowslipyoke.relay.WeightTarget;
 import org.jspecify.annotations.Nullable;
 
@@ -84,8 +83,7 @@
             request,
             admitted,
             service,
-            UrgencyRank.of(
-                admitted.desired().routes(), admitted.route(), service, admitted.priority()),
+            RequestPlacement.rankOf(admitted, service),
             run,
             startMs,
             endMs);
--- a/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/RequestPlacement.java
+++ b/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/RequestPlacement.java
@@ -21,7 +21,9 @@
 import org.cowslipyoke.relay.PromptPlan;
 import org.cowslipyoke.relay.RelayRequest;
 import org.cowslipyoke.relay.RequestAttempts;
+import org.cowslipyoke.relay.RouteTable;
 import org.cowslipyoke.relay.ServerGroup;
+import org.cowslipyoke.relay.UrgencyRank;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -57,6 +59,17 @@
     }
   }
 
+  /**
+   * Returns the {@link UrgencyRank} of a request; prompts of a service that do not compete by
+   * urgency share one.
+   */
+  static int rankOf(AdmittedRequest admitted, String service) {
+    RouteTable routes = admitted.desired().routes();
+    return routes.isCompeting(service)
+        ? UrgencyRank.of(routes, admitted.route(), service, admitted.priority())
+        : UrgencyRank.MOST_URGENT;
+  }
+
   private boolean isCompeting() {
     return admitted.desired().routes().isCompeting(service);
   }
--- a/org.cowslipyoke/src/main/java/org/cowslipyoke/relay/RouteTable.java
+++ b/org.cowslipyoke/src/main/java/org/cowslipyoke/relay/RouteTable.java
@@ -88,7 +88,7 @@
         && others.stream()
             .anyMatch(
                 o ->
-                    urgent.priority() < o.priority()
+                    urgent.priority() <= o.priority()
                         && UrgencyRank.SHORT_FACTOR * urgent.objectiveMs() <= o.objectiveMs());
   }
 
--- a/org.cowslipyoke/src/main/java/org/cowslipyoke/relay/UrgencyRank.java
+++ b/org.cowslipyoke/src/main/java/org/cowslipyoke/relay/UrgencyRank.java
@@ -37,14 +37,8 @@
     return 2 * group + (shortObjective ? 0 : 1);
   }
 
-  /**
-   * Returns the rank of requests of a route to a service with a priority. Prompts of a service that
-   * do not compete by urgency share one rank.
-   */
+  /** Returns the rank of requests of a route to a service with a priority. */
   public static int of(RouteTable routes, Route route, String service, int priority) {
-    if (!routes.isCompeting(service)) {
-      return MOST_URGENT;
-    }
     long ownMs = route.objectiveMs();
     boolean shortObjective =
         ownMs > 0 && SHORT_FACTOR * ownMs <= routes.longestObjectiveMs(service);
