Let an abort before the sending have no effect

The timer aborted the request between its creation and its sending; Jetty takes only the first abort of a request, so the abort at the beginning of the writing, after the lost claim, did nothing.

Change: the attempt knows its request only after the sending has been started; an earlier end is seen by the claim and by the check after it.

--- a/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/RelayAttempt.java
+++ b/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/RelayAttempt.java
@@ -134,8 +134,9 @@
     if (exchange.body().length > 0) {
       r.body(new BytesRequestContent(out.get("Content-Type"), exchange.body()));
     }
-    jetty = r;
     r.send(this);
+    // Set only now: an abort before the sending has no effect in Jetty, but makes later ones void.
+    jetty = r;
     if (exchange.isOver()) {
       abort();
     }
