--- a/org.cowslipyoke.transport/src/main/java/org/cowslipyoke/transport/FrameConnection.java
+++ b/org.cowslipyoke.transport/src/main/java/org/cowslipyoke/transport/FrameConnection.java
@@ -30,9 +30,6 @@
   /** A heartbeat is answered unless a frame was sent within this time. */
   private static final long ECHO_MS = 100;
 
-  /** Shortest time between two reports of the same higher version. */
-  private static final long REPORT_MS = 100;
-
   /** By how much longer the accepting side keeps an idle connection. */
   private static final long ACCEPTOR_EXTRA_MS = 15_000;
 
@@ -44,6 +41,7 @@
   private final FrameAssembler assembler = new FrameAssembler();
   private final PeerStreamIds peerIds;
   private final WriteQueue output;
+  private final NewerVersionReporter newerVersions;
   private final Object lock = new Object();
   private final Map<Long, FrameStream> streams = new ConcurrentHashMap<>();
   private boolean closed; // guarded by lock
@@ -56,9 +54,6 @@
   private long receivedMs;
   private long streamFrameMs;
   private long verifySinceMs = -1;
-  private long reportedMs;
-  private long reportedConfig;
-  private long reportedSuspects;
 
   FrameConnection(
       NodeContext node, IoLoop loop, SocketChannel channel, String address, boolean dialer) {
@@ -70,6 +65,7 @@
     nextId = dialer ? 1 : 2;
     peerIds = new PeerStreamIds(dialer ? 2 : 1);
     output = new WriteQueue(channel, node.stats());
+    newerVersions = new NewerVersionReporter(node, this);
     createdMs = node.clock().nowMs();
     receivedMs = createdMs;
     streamFrameMs = createdMs;
@@ -313,7 +309,7 @@
       reject(Failure.of(ErrorKind.PROTOCOL_ERROR, "second greeting"));
       return;
     }
-    reportVersions(frame, peer);
+    newerVersions.received(frame, peer.vm(), receivedMs);
     if (message instanceof Message.Heartbeat
         && receivedMs - output.writtenMs() >= Math.min(ECHO_MS, node.timing().tickMs())) {
       heartbeat();
@@ -368,28 +364,6 @@
     return stream;
   }
 
-  private void reportVersions(Envelope frame, Message.Hello from) {
-    long config = frame.configVersion();
-    long suspects = frame.suspectsVersion();
-    if (config <= node.versions().configVersion()
-        && suspects <= node.versions().suspectsVersion()) {
-      return;
-    }
-    if (config == reportedConfig
-        && suspects == reportedSuspects
-        && receivedMs - reportedMs < REPORT_MS) {
-      return;
-    }
-    reportedMs = receivedMs;
-    reportedConfig = config;
-    reportedSuspects = suspects;
-    try {
-      node.versionListener().newer(from.vm(), this, config, suspects);
-    } catch (RuntimeException e) {
-      LOG.error("version listener failed", e);
-    }
-  }
-
   private void reject(Failure failure) {
     node.stats().protocolError();
     LOG.warn("connection {}: {}: {}", address, failure.kind(), failure.message());
--- a/org.cowslipyoke/src/main/java/org/cowslipyoke/admission/ServerAdmission.java
+++ b/org.cowslipyoke/src/main/java/org/cowslipyoke/admission/ServerAdmission.java
@@ -72,6 +72,7 @@
   private final Set<Ticket> active = new LinkedHashSet<>();
   private final Set<Ticket> waiting = new LinkedHashSet<>();
   private final EngineView engine = new EngineView();
+  private final RunRefusals refusals;
   private boolean turnedCold;
 
   /** Creates the admission of a cold server whose engine is not known yet. */
@@ -82,6 +83,7 @@
       SuspectList suspects,
       RandomGenerator random) {
     this.clock = clock;
+    this.refusals = new RunRefusals(clock, engine);
     this.standing = standing;
     this.configuration = configuration;
     this.suspects = new SuspectRule(clock, suspects);
@@ -140,7 +142,7 @@
     Optional<Failure> refusal =
         engine
             .refusal(request)
-            .or(() -> versionRefusal(reservation.get(), request))
+            .or(() -> refusals.startVersion(reservation.get(), request))
             .or(() -> suspectRefusal(request));
     if (refusal.isPresent()) {
       return left(refusal.get());
@@ -222,12 +224,12 @@
   public synchronized Optional<Failure> checkSubmission(Ticket ticket, State state) {
     onState(state);
     if (ticket.warmUpPeriod() != coldStart.period()) {
-      return coldRefusal();
+      return refusals.cold();
     }
     return standing
         .returnReason()
-        .or(() -> deadlineRefusal(ticket))
-        .or(() -> ticketVersionRefusal(ticket));
+        .or(() -> refusals.deadline(ticket))
+        .or(() -> refusals.ticketVersion(ticket));
   }
 
   /**
@@ -355,53 +357,16 @@
         r, Stream.concat(tickets, reservations.requests()), engine.retryAfterMs());
   }
 
-  /**
-   * Returns the refusal of a start if the weights were swapped since the reservation, or if the
-   * sender names another version than the one that it requested or was offered.
-   */
-  private Optional<Failure> versionRefusal(Reservation reservation, AdmissionRequest started) {
-    boolean same = reservation.weightVersion().equals(engine.weightVersion());
-    String named = started.weightVersion();
-    boolean known =
-        named.equals(reservation.weightVersion())
-            || named.equals(reservation.request().weightVersion());
-    return same && known
-        ? Optional.empty()
-        : Optional.of(Failure.of(ErrorKind.WRONG_VERSION, "weights changed since the reservation"));
-  }
-
   private Optional<Failure> dropReason(Ticket t) {
     if (turnedCold) {
-      return coldRefusal();
+      return refusals.cold();
     }
-    return deadlineRefusal(t)
-        .or(() -> ticketVersionRefusal(t))
+    return refusals
+        .deadline(t)
+        .or(() -> refusals.ticketVersion(t))
         .or(() -> suspects.quarantineRefusal(t.request()));
   }
 
-  private Optional<Failure> deadlineRefusal(Ticket t) {
-    return clock.nowMs() < t.deadlineAtMs()
-        ? Optional.empty()
-        : Optional.of(Failure.of(ErrorKind.DEADLINE_TOO_SHORT, "the deadline passed in the queue"));
-  }
-
-  private Optional<Failure> ticketVersionRefusal(Ticket t) {
-    boolean same = t.weightVersion().equals(engine.weightVersion());
-    return engine
-        .refusal(t.request())
-        .or(
-            () ->
-                same
-                    ? Optional.empty()
-                    : Optional.of(
-                        Failure.of(ErrorKind.WRONG_VERSION, "weights changed while waiting")));
-  }
-
-  private Optional<Failure> coldRefusal() {
-    return Optional.of(
-        new Failure(ErrorKind.SERVER_COLD, "the server turned cold", engine.retryAfterMs()));
-  }
-
   private Ticket newTicket(Reservation reservation, AdmissionRequest request) {
     long deadline = clock.nowMs() + Math.max(0, request.deadlineMs());
     return new Ticket(request, reservation.weightVersion(), deadline, reservation.prefillTokens());
