--- a/org.cowslipyoke.test/src/test/java/org/cowslipyoke/standin/EngineStandInTest.java
+++ b/org.cowslipyoke.test/src/test/java/org/cowslipyoke/standin/EngineStandInTest.java
@@ -20,6 +20,7 @@
 import org.cowslipyoke.platform.ModelEngine.CacheEvents;
 import org.cowslipyoke.platform.ModelEngine.Generation;
 import org.cowslipyoke.platform.ModelEngine.Order;
+import org.cowslipyoke.platform.ModelEngine.State;
 import org.cowslipyoke.platform.ModelEngine.TokenSink;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
@@ -52,6 +53,10 @@
     standIns.forEach(StandIn::close);
   }
 
+  private static State stateOf(HttpModelEngine e) {
+    return e.state().getOrElseThrow(f -> new AssertionError(f.toString()));
+  }
+
   private static void await(BooleanSupplier condition) {
     long end = System.nanoTime() + 10_000_000_000L;
     while (!condition.getAsBoolean()) {
@@ -179,7 +184,7 @@
     HttpModelEngine e = client(s);
     assertTrue(e.order(new Order("load", "default", "", "v3", ""), 7).isRight());
     assertTrue(e.order(new Order("load", "default", "", "v2", ""), 6).isRight());
-    await(() -> !e.state().get().loading());
+    await(() -> !stateOf(e).loading());
     assertEquals("v2", e.state().get().weightVersion());
     assertEquals(1, s.stats().path("ordersOutdated").asInt());
   }
@@ -199,7 +204,7 @@
     final long from = System.nanoTime();
     engines.forEach(
         e -> assertTrue(e.order(new Order("load", "default", "", "v2", ""), 1).isRight()));
-    await(() -> engines.stream().allMatch(e -> e.state().get().weightVersion().equals("v2")));
+    await(() -> engines.stream().allMatch(e -> stateOf(e).weightVersion().equals("v2")));
     assertTrue(System.nanoTime() - from >= 600_000_000L);
   }
 
