Let callers leave a failure domain whose engines have stopped

Cause: a prompt that is not in the leaving share pays 100 ms more for another failure domain. Engines that stop keep that advantage until their silence is noticed after 1.2 s; prompts whose callers gave up leave them without a queue.

Change: DomainPressureReader.isStalled: a prompt of the entry is overdue by 100 ms at home and no engine at home has ended a prefill meanwhile. For 1 s leaving then gains 100 ms. Only where the settings name the costs of crossings.

--- a/org.cowslipyoke.test/src/test/java/org/cowslipyoke/relay/DomainOverflowTest.java
+++ b/org.cowslipyoke.test/src/test/java/org/cowslipyoke/relay/DomainOverflowTest.java
@@ -27,6 +27,9 @@
   /** The users' target for prompts in time. */
   private static final double TARGET = 0.95;
 
+  /** Number of losses of a failure domain, each with a seed of its own. */
+  private static final int LOSSES = 20;
+
   /** Swings of an entry's share in 20 s that are no oscillation. */
   private static final double MAX_SWINGS = 4;
 
@@ -37,7 +40,12 @@
   }
 
   private static DomainSimulation simulation(boolean fixed, LongFunction<double[]> rates) {
-    return new DomainSimulation(SEED, fixed, ENTRIES, ENGINES, rates, 0, REPORT_MS)
+    return simulation(SEED, fixed, rates);
+  }
+
+  private static DomainSimulation simulation(
+      long seed, boolean fixed, LongFunction<double[]> rates) {
+    return new DomainSimulation(seed, fixed, ENTRIES, ENGINES, rates, 0, REPORT_MS)
         .countFrom(SETTLED_MS);
   }
 
@@ -95,14 +103,24 @@
     assertTrue(r.domain(0).inTime >= 0.95 * capacity, show(r, before));
   }
 
-  /** Guards against a domain whose callers are not served while its servers are gone. */
+  /**
+   * Guards against a domain whose callers are not served while its servers are gone. A single run
+   * has about 14 late callers of 290, so that the verdict on one seed would be that of its draw.
+   */
   @Test
   void lostDomainIsServedElsewhereAndReturns() {
     LongFunction<double[]> rates = t -> demand(0.5, 0.5, 0.5, 0.5);
-    Result lost = simulation(false, rates).lose(0, 8_000, 1_500, 16_000).run(16_000);
-    for (Served s : lost.domains()) {
-      assertTrue(s.inTimeFraction() >= TARGET, show(lost));
+    int inTime = 0;
+    int all = 0;
+    for (long seed = SEED; seed < SEED + LOSSES; seed++) {
+      Result lost = simulation(seed, false, rates).lose(0, 8_000, 1_500, 16_000).run(16_000);
+      inTime += lost.domain(0).inTime;
+      all += lost.domain(0).all();
+      for (Served s : lost.domains().subList(1, DOMAINS)) {
+        assertTrue(s.inTimeFraction() >= TARGET, lost + " seed " + seed);
+      }
     }
+    assertTrue(inTime >= TARGET * all, inTime + " of " + all + " in time, seeds from " + SEED);
     Result back =
         simulation(false, rates).lose(0, 2_000, 1_500, 8_000).countFrom(14_000).run(LENGTH_MS);
     assertTrue(back.domain(0).crossedFraction() <= 0.1, show(back));
--- a/org.cowslipyoke/src/main/java/org/cowslipyoke/relay/DomainOverflow.java
+++ b/org.cowslipyoke/src/main/java/org/cowslipyoke/relay/DomainOverflow.java
@@ -30,6 +30,13 @@
   /** The same for a request of a plain service, in requests in flight. */
   static final double STAY_REQUESTS = 2;
 
+  /**
+   * Time in milliseconds for which callers may leave freely after the engines of home were found
+   * stalled. Prompts whose callers gave up leave the engines without a queue, and look idle until
+   * their silence is noticed.
+   */
+  static final long STALL_HOLD_MS = 1_000;
+
   /**
    * Additional cost of a failure domain whose own callers overflow would push out, in milliseconds;
    * above the objectives of prompts, below the cost of a server that does not respond.
@@ -111,6 +118,7 @@
     private final OverflowController controller;
     private double meanBytes;
     private long nextStepMs = Long.MIN_VALUE;
+    private long stalledUntilMs = Long.MIN_VALUE;
 
     Service(String home) {
       controller = new OverflowController(home);
@@ -127,6 +135,11 @@
       if (c.regime() == Regime.UNKNOWN || c.isLeaving(domain, crossing.draw())) {
         return ms;
       }
+      if (clock.nowMs() < s.stalledUntilMs) {
+        // Prompts that wait at the stalled engines end unseen, so that home must not win by its
+        // short queue.
+        return ms - STAY_MS;
+      }
       return ms + STAY_MS + (isClosed(c, domain) ? NO_ROOM_MS : 0);
     }
   }
@@ -174,6 +187,9 @@
     }
     s.nextStepMs = now + INTERVAL_MS;
     FleetState fleet = state.get();
+    if (pressures.isStalled(fleet, name, ownDomain)) {
+      s.stalledUntilMs = now + STALL_HOLD_MS;
+    }
     Map<String, DomainPressure> read =
         pressures.read(fleet, name, Math.round(s.meanBytes / PromptPlacement.BYTES_PER_TOKEN));
     String before = regimeName(s.controller);
--- a/org.cowslipyoke/src/main/java/org/cowslipyoke/relay/DomainPressureReader.java
+++ b/org.cowslipyoke/src/main/java/org/cowslipyoke/relay/DomainPressureReader.java
@@ -12,6 +12,12 @@
  */
 public final class DomainPressureReader {
 
+  /**
+   * Time beyond the expected one without an end of a prefill from which a failure domain counts as
+   * stalled, in milliseconds; above the usual errors of the expected time.
+   */
+  static final double STALL_SLACK_MS = 100;
+
   private final ServerLoads loads;
   private final PeerLoads peers;
   private final SilentServers silentServers;
@@ -60,6 +66,28 @@
     return pressures;
   }
 
+  /**
+   * Returns whether the engines of a failure domain seem to have stopped: a prompt of this entry is
+   * overdue there, and none has ended its prefill meanwhile.
+   */
+  boolean isStalled(FleetState state, String service, String domain) {
+    List<BackendServer> servers =
+        state.available(service).stream().filter(s -> s.failureDomain().equals(domain)).toList();
+    FleetLoad fleet = FleetLoad.of(loads, peers, servers, state.entries());
+    long overdueMs = 0;
+    long quietMs = Long.MAX_VALUE;
+    for (BackendServer s : servers) {
+      Load load = fleet.loadAt(s);
+      double expectedMs = profiles.of(s).firstTokenMs(0, load.prefillTokens(), load.inFlight());
+      long waitingMs = loads.of(s).waitingMs();
+      if (waitingMs > expectedMs + STALL_SLACK_MS) {
+        overdueMs = Math.max(overdueMs, waitingMs);
+      }
+      quietMs = Math.min(quietMs, loads.of(s).sincePrefillEndMs());
+    }
+    return overdueMs > 0 && quietMs >= overdueMs;
+  }
+
   private DomainPressure pressure(
       FleetLoad fleet,
       ServerGroup group,
--- a/org.cowslipyoke/src/main/java/org/cowslipyoke/relay/ServerLoad.java
+++ b/org.cowslipyoke/src/main/java/org/cowslipyoke/relay/ServerLoad.java
@@ -49,6 +49,8 @@
   private long fullUntilMs;
   private long loadingUntilMs;
   private double responseMs;
+  private long prefillEndedMs;
+  private long waitingFromMs;
 
   /**
    * Creates the load of an idle server.
@@ -62,11 +64,13 @@
     this.failuresMs = clock.nowMs();
     this.fullUntilMs = clock.nowMs();
     this.loadingUntilMs = clock.nowMs();
+    this.prefillEndedMs = clock.nowMs();
   }
 
   /** Records the start of a request. */
   public void recordStart(PromptWork work) {
     synchronized (this) {
+      waitingFromMs = prefillTokens() == 0 ? clock.nowMs() : waitingFromMs;
       inFlight[work.rank()]++;
       prefillTokens[work.rank()] += work.prefillTokens();
       residentTokens[work.rank()] += work.unsharedTokens();
@@ -122,6 +126,8 @@
     synchronized (this) {
       int r = work.rank();
       prefillTokens[r] = Math.max(0, prefillTokens[r] - work.prefillTokens());
+      prefillEndedMs = clock.nowMs();
+      waitingFromMs = prefillEndedMs;
     }
     reportChange(work, work.prefillTokens() >= URGENT_TOKENS);
   }
@@ -213,6 +219,19 @@
     return Arrays.stream(prefillTokens).sum();
   }
 
+  /** Returns the time since the last end of a prefill in milliseconds. */
+  synchronized long sincePrefillEndMs() {
+    return clock.nowMs() - prefillEndedMs;
+  }
+
+  /**
+   * Returns the time for which prompts have waited without an end of a prefill in milliseconds, 0
+   * if none waits.
+   */
+  synchronized long waitingMs() {
+    return prefillTokens() == 0 ? 0 : clock.nowMs() - waitingFromMs;
+  }
+
   /**
    * Returns the number of tokens that the requests of this process occupy in the server's memory.
    */
