Make room for new connections and small requests among callers that send

Change: ConnectionSlots, a decision without I/O, closes the slowest incomplete request when no other connection may give way, keeps an eighth of the connections for new ones and bounds those of one address (Callers.MaxConnectionsPerAddress, not limited by default). A small request evicts incomplete ones in the reserve that hold four times as much. Accepting stops while 16 connections have not been seen by the bound. A head that is parsed after its connection was closed acquires no memory any more.

--- a/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/CallerChannel.java
+++ b/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/CallerChannel.java
@@ -162,7 +162,7 @@
       succeed();
       return;
     }
-    memory.watch(r -> fail(new IllegalStateException("the rest of the body is late: " + r)));
+    memory.watchRequest(r -> fail(new IllegalStateException("the rest of the body is late: " + r)));
     body.discard(Callback.from(this::succeed, this::fail));
   }
 
--- a/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/CallerConnection.java
+++ b/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/CallerConnection.java
@@ -29,6 +29,10 @@
 
   private final CallerMemory memory;
   private final AtomicReference<CallerMemory.@Nullable Holding> holding = new AtomicReference<>();
+
+  /** Whether the connection was closed; its head may still be parsed in another thread then. */
+  private volatile boolean closed;
+
   private long headBytes;
   private long acquired;
 
@@ -52,6 +56,7 @@
 
   @Override
   public void onClose(@Nullable Throwable cause) {
+    closed = true;
     takeHolding().close();
     super.onClose(cause);
   }
@@ -71,9 +76,13 @@
     if (h == null) {
       h = memory.open();
       Consumer<CallerMemory.Reason> evict = r -> getEndPoint().close();
-      h.watch(evict);
+      h.watchRequest(evict);
       holding.set(h);
     }
+    if (closed) {
+      takeHolding().close();
+      return false;
+    }
     h.transferred(characters);
     acquired += STEP_BYTES;
     return h.tryAcquire(STEP_BYTES);
--- a/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/CallerLimits.java
+++ b/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/CallerLimits.java
@@ -1,12 +1,14 @@
 package org.cowslipyoke.daemon.relay;
 
+import org.cowslipyoke.relay.ConnectionSlots;
+
 /**
  * Limits of what the callers of one process may hold together.
  *
  * @param memoryBytes bytes of large heads, request bodies and unread responses
- * @param maxConnections open connections
+ * @param connections open connections
  */
-public record CallerLimits(long memoryBytes, int maxConnections) {
+public record CallerLimits(long memoryBytes, ConnectionSlots.Bounds connections) {
 
   /** Fraction of the heap that callers may hold. */
   private static final double HEAP_FRACTION = 0.25;
@@ -40,6 +42,20 @@
       long left = Math.max(0, maxDescriptors - RESERVED_DESCRIPTORS);
       connections = Math.min(connections, Math.max(16, Math.round(left * DESCRIPTOR_FRACTION)));
     }
-    return new CallerLimits(bytes, (int) Math.min(connections, Integer.MAX_VALUE));
+    return of(bytes, (int) Math.min(connections, Integer.MAX_VALUE), 0);
+  }
+
+  /**
+   * Returns limits.
+   *
+   * @param perAddress open connections of one remote address; 0 if they are not limited, because
+   *     all callers may come from one proxy
+   */
+  public static CallerLimits of(long memoryBytes, int connections, int perAddress) {
+    ConnectionSlots.Bounds b =
+        perAddress > 0
+            ? new ConnectionSlots.Bounds(connections, perAddress)
+            : ConnectionSlots.Bounds.of(connections);
+    return new CallerLimits(memoryBytes, b);
   }
 }
--- a/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/Relay.java
+++ b/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/Relay.java
@@ -179,7 +179,7 @@
         new CallerMemory(clock, o.callers().memoryBytes(), r -> metrics.evicted(r.name()));
     ConnectionBound connections =
         new ConnectionBound(
-            o.callers().maxConnections(), memory::evictStalled, () -> metrics.evicted("WAITING"));
+            clock, o.callers().connections(), memory, () -> metrics.evicted("WAITING"));
     metrics.reportCallers(memory, connections);
     HttpConnector.Limits limits =
         new HttpConnector.Limits(MAX_CONNECTIONS, MAX_CONNECTIONS, CONNECT_MS, MAX_RESPONSE_BYTES);
@@ -305,14 +305,15 @@
     config.setHeaderCacheSize(0);
     config.setRequestHeaderSize(DEFAULT_MAX_HEADER_BYTES + HEADER_SLACK_BYTES);
     ServerConnector c =
-        new ServerConnector(
-            server, 0, 1, new ReadAheadConnectionFactory(config, services.memory(), clock));
+        new CallerConnector(
+            server,
+            new ReadAheadConnectionFactory(config, services.memory(), clock),
+            services.connections());
     c.setHost(o.host());
     c.setPort(o.port());
     c.setReuseAddress(true);
     c.setIdleTimeout(o.callerIdleMs() + CALLER_IDLE_GRACE_MS);
     c.setAcceptQueueSize(512);
-    c.addBean(services.connections());
     CallerSweep sweep = new CallerSweep(services, config);
     var unused =
         timers.scheduleWithFixedDelay(
--- a/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/RelayHandler.java
+++ b/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/RelayHandler.java
@@ -87,7 +87,7 @@
     if (admitted.isLeft()) {
       return refuse(caller, admitted.getLeft(), r);
     }
-    memory.watch(reason -> evict(caller, body, reason));
+    memory.watchRequest(reason -> evict(caller, body, reason));
     body.read(
         admitted.get().desired().maxBodyBytes(), new BodyListener(caller, memory, r, startMs));
     body.limitTime(r.waitMs());
--- a/org.cowslipyoke.test/src/test/java/org/cowslipyoke/relay/CallerMemoryTest.java
+++ b/org.cowslipyoke.test/src/test/java/org/cowslipyoke/relay/CallerMemoryTest.java
@@ -112,6 +112,41 @@
     assertFalse(memory.evictStalled());
   }
 
+  /** Guards against incomplete requests that keep new callers out before they count as stalled. */
+  @Test
+  void slowestIncompleteRequestIsEvictedForItsConnection() {
+    List<Holding> gone = new ArrayList<>();
+    receiving(1_000, gone);
+    Holding slow = memory.open();
+    slow.watchRequest(r -> gone.add(slow));
+    final Holding fast = memory.open();
+    fast.watchRequest(r -> gone.add(fast));
+    clock.advance(50);
+    fast.transferred(4 << 10);
+    assertFalse(memory.evictStalled());
+    assertTrue(memory.evictSlowestRequest());
+    assertTrue(memory.evictSlowestRequest());
+    assertFalse(memory.evictSlowestRequest(), "a caller that reads its response keeps it");
+    assertEquals(List.of(slow, fast), gone);
+  }
+
+  /** Guards against a reserve that is used up by many requests that grow at the same time. */
+  @Test
+  void smallRequestEvictsMuchLargerOnesInTheReserve() {
+    List<Holding> gone = new ArrayList<>();
+    final Holding large = receiving(4 * MB, gone);
+    for (int i = 0; i < 12 * MB / CallerMemory.SMALL_BYTES; i++) {
+      Holding h = memory.open();
+      h.watchRequest(r -> gone.add(h));
+      assertTrue(h.tryAcquire(CallerMemory.SMALL_BYTES));
+    }
+    assertFalse(memory.open().tryAcquire(CallerMemory.SMALL_BYTES / 2));
+    assertEquals(List.of(), gone);
+    assertTrue(memory.open().tryAcquire(CallerMemory.SMALL_BYTES / 4));
+    assertEquals(1, gone.size());
+    assertFalse(gone.contains(large));
+  }
+
   /** Guards against bytes that are released twice or never, in random sequences. */
   @Test
   void usedBytesStayWithinTheBudget() {
--- a/org.cowslipyoke/src/main/java/org/cowslipyoke/relay/CallerMemory.java
+++ b/org.cowslipyoke/src/main/java/org/cowslipyoke/relay/CallerMemory.java
@@ -17,9 +17,10 @@
  *
  * <p>A part of the budget is reserved for small holdings, so that large ones can't keep out
  * ordinary requests. When the budget is used up, holdings whose caller has stalled are evicted, the
- * largest first; a holding that makes progress is never evicted for another one.
+ * largest first. A holding that makes progress is only evicted within the reserve, for a much
+ * smaller one, or for its connection.
  */
-public final class CallerMemory {
+public final class CallerMemory implements ConnectionSlots.Requests {
 
   /** Maximum size of a holding that may use the reserve, in bytes. */
   public static final long SMALL_BYTES = 64 << 10;
@@ -27,6 +28,12 @@
   /** Fraction of the budget that holdings above {@link #SMALL_BYTES} may use. */
   private static final double LARGE_FRACTION = 0.75;
 
+  /**
+   * Factor by which a holding in the reserve exceeds the one that it may be evicted for, so that
+   * requests that grow at the same time do not evict each other in turn.
+   */
+  private static final long MUCH_LARGER = 4;
+
   /** Pace below which a caller counts as stalled while the budget is used up, in bytes per ms. */
   private static final long PRESSURE_PACE = 64;
 
@@ -91,13 +98,29 @@
    *
    * @return whether there was one
    */
+  @Override
   public boolean evictStalled() {
+    long pausedMs = clock.nowMs() + PRESSURE_PATIENCE_MS - CONNECTION_PATIENCE_MS;
+    return evictForConnection(h -> h.pressureDueMs < pausedMs);
+  }
+
+  /**
+   * Evicts the incomplete request whose caller has sent the least for the longest time, however
+   * short its pause, to free its connection.
+   *
+   * @return whether there was one
+   */
+  @Override
+  public boolean evictSlowestRequest() {
+    return evictForConnection(h -> h.receiving);
+  }
+
+  private boolean evictForConnection(Predicate<Holding> of) {
     Optional<Eviction> e;
     synchronized (this) {
-      long pausedMs = clock.nowMs() + PRESSURE_PATIENCE_MS - CONNECTION_PATIENCE_MS;
       e =
           watched.stream()
-              .filter(h -> h.pressureDueMs < pausedMs)
+              .filter(of)
               .min(Comparator.comparingLong(h -> h.pressureDueMs))
               .map(h -> h.evict(Reason.CONNECTIONS));
     }
@@ -123,6 +146,10 @@
     all.forEach(Eviction::run);
   }
 
+  private long bytes(Predicate<Holding> of) {
+    return watched.stream().filter(of).mapToLong(h -> h.held).sum();
+  }
+
   private Optional<Holding> largest(Predicate<Holding> of) {
     return watched.stream()
         .filter(of)
@@ -151,6 +178,7 @@
 
     private long held;
     private boolean closed;
+    private boolean receiving;
     private @Nullable Consumer<Reason> owner;
     private long pressureDueMs;
 
@@ -160,7 +188,8 @@
     private Holding() {}
 
     /**
-     * Acquires bytes, for which it may evict holdings of callers that have stalled.
+     * Acquires bytes, for which it may evict holdings of callers that have stalled, and for a small
+     * request also incomplete ones in the reserve that are much larger.
      *
      * @return false if they exceed the budget; none are acquired then
      */
@@ -185,12 +214,16 @@
         return true;
       }
       long nowMs = clock.nowMs();
-      Predicate<Holding> stalled = h -> h != this && h.held > 0 && h.pressureDueMs < nowMs;
-      if (watched.stream().filter(stalled).mapToLong(h -> h.held).sum() < missing) {
+      Predicate<Holding> evictable = h -> h != this && h.held > 0 && h.pressureDueMs < nowMs;
+      if (small && bytes(evictable) < missing) {
+        long leastBytes = MUCH_LARGER * (held + more);
+        evictable = evictable.or(h -> h.receiving && h.held >= leastBytes && h.held <= SMALL_BYTES);
+      }
+      if (bytes(evictable) < missing) {
         return false;
       }
       while (missing > 0) {
-        Holding h = largest(stalled).orElseThrow();
+        Holding h = largest(evictable).orElseThrow();
         missing -= h.held;
         evictions.add(h.evict(Reason.MEMORY));
       }
@@ -220,9 +253,23 @@
      * @param onEvict called at most once, when the holding was evicted and its bytes released
      */
     public void watch(Consumer<Reason> onEvict) {
+      watchFor(onEvict, false);
+    }
+
+    /**
+     * Makes the holding evictable while its request is incomplete and so has not run.
+     *
+     * @param onEvict as for {@link #watch}
+     */
+    public void watchRequest(Consumer<Reason> onEvict) {
+      watchFor(onEvict, true);
+    }
+
+    private void watchFor(Consumer<Reason> onEvict, boolean incomplete) {
       synchronized (CallerMemory.this) {
         if (!closed) {
           owner = onEvict;
+          receiving = incomplete;
           paidMs = clock.nowMs();
           pressureDueMs = paidMs + PRESSURE_PATIENCE_MS;
           watched.add(this);
