Send a request again to the only server after a connect time-out

Cause: a crowd fills the backlog of the only server; one connection that is not opened in time fails all requests that wait for one, and those were refused although they were not sent (UnreadResponsesCrowdTest.streams).

Refused connections and servers that answered are not affected.

--- a/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/RelayAttempt.java
+++ b/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/RelayAttempt.java
@@ -2,6 +2,7 @@
 
 import java.io.EOFException;
 import java.net.SocketException;
+import java.net.SocketTimeoutException;
 import java.nio.ByteBuffer;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
@@ -65,6 +66,7 @@
   private int resends;
   private volatile boolean ended;
   private volatile boolean left;
+  private volatile boolean connectTimedOut;
   private final AttemptObservers observers;
   private final Attempt attempt;
 
@@ -156,6 +158,15 @@
     return exchange.services().clock().nowMs() - Math.max(startMs, lastBytesMs);
   }
 
+  boolean isAt(BackendServer s) {
+    return s.incarnation().equals(server.incarnation());
+  }
+
+  /** Returns whether the attempt ended because no connection was opened in time. */
+  boolean isConnectTimedOut() {
+    return connectTimedOut;
+  }
+
   /** Closes the connection to a server that has stopped responding, which ends the attempt. */
   void leaveServer() {
     left = true;
@@ -331,6 +342,7 @@
     observers.ended(attempt, outcome(failure, h));
     if (failure != null || h == null) {
       sent &= !HttpConnector.isNotSent(failure);
+      connectTimedOut = !sent && failure instanceof SocketTimeoutException;
       recordLostServer(failure, request);
       broken(AttemptLog.summary(failure));
       return;
--- a/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/RelayExchange.java
+++ b/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/RelayExchange.java
@@ -35,6 +35,12 @@
   /** Minimum time left for starting another attempt, in milliseconds. */
   static final long MIN_ATTEMPT_MS = 30;
 
+  /**
+   * Time after which a request is sent again to the only server, if no connection was opened in
+   * time; a server with a full backlog accepts its connections meanwhile.
+   */
+  private static final long RECONNECT_MS = 100;
+
   private static final Logger LOG = LogManager.getLogger(RelayExchange.class);
 
   private final RelayContext services;
@@ -187,7 +193,20 @@
         copy);
   }
 
+  /** Starts the next attempt at the same server after {@link #RECONNECT_MS}. */
+  private void reconnect() {
+    try {
+      Runnable next = this::startNextAttempt;
+      var unused = services.timers().schedule(next, RECONNECT_MS, TimeUnit.MILLISECONDS);
+    } catch (RejectedExecutionException e) {
+      fail(new Failure(ErrorKind.SHUTTING_DOWN, "the process stops", 0));
+    }
+  }
+
   private void startNextAttempt() {
+    if (isOver()) {
+      return;
+    }
     WaitingPrompts waiting = services.waiting();
     if (waiting.hasAhead(this) || tryStart(false) != Attempt.SETTLED) {
       waiting.add(this);
@@ -233,20 +252,26 @@
   /** Handles the end of an attempt without a complete response. */
   void attemptEnded(RelayAttempt a, AttemptEnd end, String reason) {
     NextStep next;
+    boolean reconnect;
     synchronized (this) {
       if (life.isEnded() || attempt != a) {
         return;
       }
       attempt = null;
       life.recordAttemptOver();
-      boolean others =
-          services.state().get().available(service).stream().anyMatch(s -> !run.hasTried(s));
+      List<BackendServer> servers = services.state().get().available(service);
+      boolean others = servers.stream().anyMatch(s -> !run.hasTried(s));
+      reconnect = !others && a.isConnectTimedOut() && servers.stream().anyMatch(a::isAt);
+      if (reconnect) {
+        run.forget(a.server());
+      }
       boolean copied =
           end == AttemptEnd.BROKEN
               && a.isContinuable()
               && failover.isReady(placement::isAllowed)
               && crashTracker.refusal().isEmpty();
-      next = run.onAttemptEnd(end, others, copied, leftMs() >= MIN_ATTEMPT_MS);
+      long neededMs = MIN_ATTEMPT_MS + (reconnect ? RECONNECT_MS : 0);
+      next = run.onAttemptEnd(end, others || reconnect, copied, leftMs() >= neededMs);
     }
     services.metrics().attempt(service, end.name());
     LOG.info(
@@ -261,7 +286,13 @@
         leftMs(),
         next);
     switch (next) {
-      case AGAIN -> startNextAttempt();
+      case AGAIN -> {
+        if (reconnect) {
+          reconnect();
+        } else {
+          startNextAttempt();
+        }
+      }
       case CONTINUE -> continueRun(a);
       case PASS_ON -> a.passOn();
       case FAIL -> fail(run.finalFailure());
--- a/org.cowslipyoke.test/src/test/java/org/cowslipyoke/relay/RequestAttemptsTest.java
+++ b/org.cowslipyoke.test/src/test/java/org/cowslipyoke/relay/RequestAttemptsTest.java
@@ -40,6 +40,22 @@
     assertEquals(Outcome.UNKNOWN, r.timeoutFailure(false).outcome());
   }
 
+  /** Guards against giving up at the only server after one connection that was not opened. */
+  @Test
+  void forgottenServerMayBeTriedAgainWithinTheLimit() {
+    RequestAttempts r = attempts(RequestKind.NON_IDEMPOTENT, false, 1);
+    BackendServer only = RelayFixture.server("s1", 1);
+    for (int i = 1; i < RequestAttempts.MAX_ATTEMPTS; i++) {
+      assertTrue(r.hasTried(only));
+      r.forget(only);
+      assertFalse(r.hasTried(only));
+      assertEquals(NextStep.AGAIN, r.onAttemptEnd(AttemptEnd.NOT_SENT, true, true));
+      r.recordAttempt(only);
+    }
+    assertEquals(NextStep.FAIL, r.onAttemptEnd(AttemptEnd.NOT_SENT, true, true));
+    assertEquals(Outcome.NOT_RUN, r.finalFailure().outcome());
+  }
+
   @Test
   void refusedRequestIsReportedAsNotRun() {
     RequestAttempts r = attempts(RequestKind.NON_IDEMPOTENT, false, 1);
--- a/org.cowslipyoke/src/main/java/org/cowslipyoke/relay/RequestAttempts.java
+++ b/org.cowslipyoke/src/main/java/org/cowslipyoke/relay/RequestAttempts.java
@@ -69,6 +69,11 @@
     return triedIncarnations.contains(server.incarnation());
   }
 
+  /** Lets the request be sent again to a server that the last attempt did not reach. */
+  public void forget(BackendServer server) {
+    triedIncarnations.remove(server.incarnation());
+  }
+
   /** Records that part of a response was sent to the caller. */
   public void recordResponseStarted() {
     responseStarted = true;
