Pull from several peers while a process has no configuration

Cause: a process that starts while the table is unavailable pulls from several peers, because one may be outdated. The periodic read beside it pulled from a single peer; if the catch-up took longer than the first interval (1 s for an entry), the version of an outdated peer came into force until the catch-up was done.

Change: no pull from a single peer without a copy.

--- a/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/runtime/DocumentExchange.java
+++ b/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/runtime/DocumentExchange.java
@@ -130,6 +130,14 @@
     return pauses.isCurrent() && configuration().version() > 0;
   }
 
+  /**
+   * Returns whether this process has a configuration. Without one it pulls from several peers only,
+   * because a single one may be outdated.
+   */
+  private boolean hasCopy() {
+    return configuration().version() > 0;
+  }
+
   private Replica configuration() {
     return replicas.get(0);
   }
@@ -243,10 +251,12 @@
         }
         if (!read) {
           stats.headReadFailures.increment();
-          boolean pulled = pullFromAll(peers.randomEntries(1));
+          boolean pulled = hasCopy() && pullFromAll(peers.randomEntries(1));
           LOG.debug("table unavailable, peerResponded={}", pulled);
         }
-      } else if (!pullFromAll(peers.notifyingEntries(1)) && !pullFromAll(peers.randomEntries(1))) {
+      } else if (hasCopy()
+          && !pullFromAll(peers.notifyingEntries(1))
+          && !pullFromAll(peers.randomEntries(1))) {
         LOG.debug("no entry responded to a pull");
       }
     } finally {
--- a/org.cowslipyoke.test/src/test/java/org/cowslipyoke/daemon/runtime/DocumentExchangeTest.java
+++ b/org.cowslipyoke.test/src/test/java/org/cowslipyoke/daemon/runtime/DocumentExchangeTest.java
@@ -96,10 +96,12 @@
     ExchangeNode newest = node("entry-new", Role.ENTRY, table);
     await(() -> newest.configuration.headVersion() == 5);
 
-    ExchangeNode stale = node("entry-stale", Role.ENTRY, staleTable());
-    nodes.remove(stale);
+    // Entries that see each other soon agree on the newest version.
+    ExchangeNode.Vms alone = new ExchangeNode.Vms();
+    ExchangeNode stale = new ExchangeNode("entry-stale", Role.ENTRY, staleTable(), alone, seed);
     awaitTicking(List.of(stale), () -> stale.exchange.isCurrent());
     assertEquals(4, stale.configuration.headVersion());
+    vms.addAll(alone);
     ExchangeNode restarted = node("entry-restarted", Role.ENTRY, unavailableTable);
     nodes.remove(restarted);
     awaitTicking(
@@ -113,6 +115,18 @@
     nodes.add(restarted);
   }
 
+  /** Guards against a process without a copy using the version of one peer, which is outdated. */
+  @Test
+  void processWithoutCopyPullsFromSeveralPeersOnly() {
+    node("entry-gone", Role.ENTRY, table).close();
+    nodes.clear();
+    ExchangeNode started = node("entry-started", Role.ENTRY, unavailableTable);
+    await(() -> started.exchange.stats().headReads.sum() >= 4);
+    long pulls = started.exchange.stats().pulls.sum();
+    long catchUps = started.exchange.stats().catchUps.sum();
+    assertTrue(pulls <= 2 * catchUps, pulls + " pulls of 2 documents, " + catchUps + " catch-ups");
+  }
+
   @Test
   void pausedProcessCatchesUpBeforeItIsCurrent() {
     ExchangeNode a = node("entry-a", Role.ENTRY, table);
--- a/org.cowslipyoke.test/src/test/java/org/cowslipyoke/daemon/runtime/ExchangeNode.java
+++ b/org.cowslipyoke.test/src/test/java/org/cowslipyoke/daemon/runtime/ExchangeNode.java
@@ -41,6 +41,10 @@
     void remove(String vm) {
       all.removeIf(v -> v.vm().equals(vm));
     }
+
+    void addAll(Vms others) {
+      all.addAll(others.all);
+    }
   }
 
   final ManualClock clock = new ManualClock();
