Add config check, which lists all findings of a configuration

Cause: config validate knows one section, stops at what the schema refuses, and says nothing of entries without effect; a team learns of a mistake after another from apply.

Change: cowslipyoke config check FILE [--section S] [--against VERSION|FILE] [--table URL] [--json]. Changes are listed by section, by meaning.

--- a/org.cowslipyoke.pgm/src/main/java/org/cowslipyoke/pgm/Arguments.java
+++ b/org.cowslipyoke.pgm/src/main/java/org/cowslipyoke/pgm/Arguments.java
@@ -32,7 +32,8 @@
           Messages.HTTP_PORT,
           Messages.READY_LINES,
           Messages.REQUEST,
-          Messages.WINDOW);
+          Messages.WINDOW,
+          Messages.AGAINST);
 
   private static final List<String> SWITCHES =
       List.of(Messages.JSON, Messages.HELP, Messages.VERSION);
--- a/org.cowslipyoke.pgm/src/main/java/org/cowslipyoke/pgm/Main.java
+++ b/org.cowslipyoke.pgm/src/main/java/org/cowslipyoke/pgm/Main.java
@@ -96,6 +96,7 @@
     switch (first) {
       case "config" -> {
         switch (second) {
+          case "check" -> new CheckCommand(a, output, () -> table(a, platform)).call();
           case "validate" -> config.validate();
           case "diff" -> config.diff(table(a, platform));
           case "apply" -> config.apply(table(a, platform));
--- a/org.cowslipyoke.pgm/src/main/java/org/cowslipyoke/pgm/Messages.java
+++ b/org.cowslipyoke.pgm/src/main/java/org/cowslipyoke/pgm/Messages.java
@@ -23,12 +23,14 @@
   static final String READY_LINES = "ready-lines";
   static final String REQUEST = "request";
   static final String WINDOW = "window";
+  static final String AGAINST = "against";
   static final String HELP = "help";
   static final String VERSION = "version";
 
   static final String USAGE =
       """
-      usage: cowslipyoke config validate --section S FILE
+      usage: cowslipyoke config check    [--section S] [--against VERSION|FILE] [--table URL] FILE
+             cowslipyoke config validate --section S FILE
              cowslipyoke config diff     --section S --table URL FILE
              cowslipyoke config apply    --section S --table URL --credential-file FILE
                                          --reason TEXT [--who NAME] [--expect-version N]
@@ -41,6 +43,9 @@
              cowslipyoke explain         --request ID [--window SECONDS] [--limit N] FILE...
              cowslipyoke --help | --version
       Sections: organisations, models, places, limits. --json prints results as JSON.
+      check lists all errors of a whole document, an object with one key per section, or of one
+      section, entries without effect, and what differs from another file or from the version in
+      force, which needs --table. Exit code 1 if the document would be refused.
       explain reconstructs what happened to a request from the log lines of all processes. FILE
       may be - for standard input. A line may begin with a time in seconds and the name of a VM;
       without a name, the file name is taken as the VM. --window: seconds of context before the
@@ -66,6 +71,16 @@
   static final String UNCHANGED = "section %s already has this content, version %d";
   static final String SECTION_NOT_FOUND = "section %s does not exist";
 
+  static final String CHECKED = "errors: %d, warnings: %d";
+  static final String CHECK_FAILED = "the configuration would be refused, errors: %d";
+  static final String SECTION_CHANGES = "section %s changes:";
+  static final String NO_CHANGES = "no section changes";
+  static final String NOT_IN_FORCE =
+      "version %d is not in the table; allowed: the version in force, %d";
+  static final String NOT_A_SECTION = "section %s is not an object";
+  static final String NO_SECTIONS =
+      "file %s holds no section; allowed: an object with one key per section, or --section";
+
   static final String MISSING_FILES = "at least one FILE is required, - for standard input";
   static final String OUT_OF_RANGE = "option --%s: value \"%d\" is not allowed; allowed: %d to %d";
   static final String NOT_IN_LOGS =
--- a/org.cowslipyoke/src/main/java/org/cowslipyoke/config/JsonSchemaValidator.java
+++ b/org.cowslipyoke/src/main/java/org/cowslipyoke/config/JsonSchemaValidator.java
@@ -64,14 +64,21 @@
 
   /** Parses the text and checks it. The failure lists all errors, one per line. */
   public Either<Failure, JsonNode> parse(String json) {
-    JsonNode node;
+    return read(json)
+        .flatMap(
+            node -> {
+              List<String> messages = messages(node);
+              return messages.isEmpty() ? Either.right(node) : Either.left(invalid(messages));
+            });
+  }
+
+  /** Parses text in which each key occurs once and nothing follows the value. */
+  public static Either<Failure, JsonNode> read(String json) {
     try {
-      node = MAPPER.readTree(json);
+      return Either.right(MAPPER.readTree(json));
     } catch (JsonProcessingException e) {
       return Either.left(invalid(List.of(syntaxMessage(e))));
     }
-    List<String> messages = messages(node);
-    return messages.isEmpty() ? Either.right(node) : Either.left(invalid(messages));
   }
 
   /** Returns a message for each violation of the schema, empty if there is none. */
--- a/org.cowslipyoke/src/main/java/org/cowslipyoke/config/SectionDraft.java
+++ b/org.cowslipyoke/src/main/java/org/cowslipyoke/config/SectionDraft.java
@@ -41,6 +41,11 @@
     return check(section).parse(json).map(n -> split(section, (ObjectNode) n));
   }
 
+  /** Returns a message for each violation of the schema of the section. */
+  public static List<String> errors(Section section, JsonNode json) {
+    return check(section).messages(json);
+  }
+
   private static JsonSchemaValidator check(Section section) {
     JsonSchemaValidator c = CHECKS.get(section);
     if (c == null) {
