Move all requests so late that a version that turns bad late stays bounded

A rollout moved all requests in the last fifth of its time (2.5 s at least), and the bound on exposure was kept for 700 ms of them only. A version that turned bad after the move had 2.2 times its share (12 s, 342 requests per second), one that turned bad after the success was never within it. With little time or traffic the canary step lasted too long to get the 20 answers for the move.

The row of FINAL now states the time of the move, half of the bound is kept for the requests after it, and the success waits for the last second. A suspicion from all answers since the order delays the move, for routes with little traffic; a fault by time needs 6 slow answers instead of 4, since those at the end of a burst condemned a good version.

--- a/org.cowslipyoke.test/src/test/java/org/cowslipyoke/rollout/RolloutFleetTest.java
+++ b/org.cowslipyoke.test/src/test/java/org/cowslipyoke/rollout/RolloutFleetTest.java
@@ -17,6 +17,10 @@
 class RolloutFleetTest {
 
   private static final long DURATION_MS = 12_000;
+
+  /** Time that suffices for the bound on exposure to cover all requests after the move. */
+  private static final long LONG_MS = 20_000;
+
   private static final long BEFORE_MS = 2_000;
 
   /** Versions, and other faults while a version is rolled out. */
@@ -36,6 +40,8 @@
     LATE(true),
     LATE_SLOW(true),
     AFTER_LAST_STEP(true),
+    /** Turns bad as all requests move, when no step is left to be taken. */
+    AT_THE_MOVE(true),
     UNDER_LOAD(true),
     ONE_ROUTE(true),
     ONE_ROUTE_SLOW(true);
@@ -76,6 +82,7 @@
           boolean last = fleet.isAt(RolloutStep.FINAL) || fleet.isAt(RolloutStep.SUCCEEDED);
           yield new Result(last && hit < 0.3, sound.ms());
         }
+        case AT_THE_MOVE -> new Result(ageMs > DURATION_MS - 1_400 && hit < 0.3, sound.ms());
         case UNDER_LOAD -> new Result(fleet.running(server) > 2 && hit < 0.5, sound.ms());
         case ONE_ROUTE -> new Result(route.equals("b") && hit < 0.4, sound.ms());
         case ONE_ROUTE_SLOW ->
@@ -158,6 +165,21 @@
     assertEquals(1, f.steps.stream().filter(RolloutStep::isOver).count(), what);
   }
 
+  /**
+   * Guards against a version that turns bad after the success, which no verdict can prevent, and
+   * then has had more than its share of the requests.
+   */
+  @ParameterizedTest
+  @CsvSource({"5,100", "28,342", "75,342"})
+  void versionThatTurnsBadAfterTheSuccessStaysWithinItsShare(int entries, double rate) {
+    RolloutFleet f = fleet(entries, Kind.GOOD, 1, rate);
+    f.play(BEFORE_MS, s -> false);
+    f.order(RolloutFleet.TARGET, LONG_MS);
+    f.play(LONG_MS + 1_000, s -> false);
+    assertSucceeded(f, f.summary());
+    assertTrue(f.targetRequests <= f.bound(), f.summary());
+  }
+
   /**
    * Guards against a rollout that starts over, moves twice or misses its end when its owner is
    * killed. The next owner has the lease after 2.2 s.
--- a/org.cowslipyoke/src/main/java/org/cowslipyoke/rollout/EntryRollouts.java
+++ b/org.cowslipyoke/src/main/java/org/cowslipyoke/rollout/EntryRollouts.java
@@ -161,6 +161,7 @@
     applyTable(state);
     long now = clock.nowMs();
     for (LocalRollout r : local.values()) {
+      isMoved(r);
       tracker.countOverdue(r, VersionComparison.slowLimits(r.evidence), now);
       List<BackendServer> targets =
           VersionChoice.only(state.available(r.state.service()), r.state.target());
@@ -254,7 +255,7 @@
     if (target.isEmpty() || halted || r == null || !r.matches(s)) {
       return old;
     }
-    boolean all = s.step() == RolloutStep.FINAL;
+    boolean all = isMoved(r);
     if (all && table.isRecent(clock.nowMs())) {
       return target;
     }
@@ -268,13 +269,17 @@
     return VersionChoice.canaries(target, state, s, r.failingServers(), clock.wallMs());
   }
 
+  private boolean isMoved(LocalRollout r) {
+    return r.isMoved(toMonotonicMs.apply(r.state.sinceMs()), clock.nowMs());
+  }
+
   @Override
   public synchronized void started(AttemptObserver.Attempt a) {
     LocalRollout r = local.get(a.service());
     tracker.recordStart(a, r != null);
     if (r != null) {
       boolean target = a.server().software().equals(r.state.target());
-      r.recordRequest(target, r.state.step().isAll() ? 0 : r.state.share());
+      r.recordRequest(target);
     }
   }
 
--- a/org.cowslipyoke/src/main/java/org/cowslipyoke/rollout/LocalRollout.java
+++ b/org.cowslipyoke/src/main/java/org/cowslipyoke/rollout/LocalRollout.java
@@ -7,6 +7,7 @@
 import java.util.Set;
 import org.cowslipyoke.relay.BackendServer;
 import org.cowslipyoke.rollout.RolloutReport.ServiceReport;
+import org.jspecify.annotations.Nullable;
 
 /** One entry's part in a running rollout. Not thread-safe. */
 final class LocalRollout {
@@ -42,6 +43,7 @@
   private boolean changed;
   private Verdict verdict = Verdict.NONE;
   private String halted = "";
+  private boolean moved;
   private Map<String, Long> routeAnswers = Map.of();
   private Set<String> failing = Set.of();
 
@@ -55,12 +57,24 @@
     return s.target().equals(state.target()) && s.startedMs() == state.startedMs();
   }
 
-  void recordRequest(boolean target, double share) {
+  void recordRequest(boolean target) {
     requests++;
     if (target) {
       targetRequests++;
     }
-    allowance.recordRequest(share);
+    allowance.recordRequest(moved ? 0 : state.share());
+  }
+
+  /**
+   * Returns whether this entry sends all requests to the target: from the time that {@link
+   * RolloutStep#FINAL} states, unless a fault is suspected then.
+   *
+   * @param moveMs that time by the monotonic clock, null if unknown
+   */
+  boolean isMoved(@Nullable Long moveMs, long nowMs) {
+    boolean due = state.step() == RolloutStep.FINAL && moveMs != null && nowMs >= moveMs;
+    moved = due && (moved || !verdict.suspected());
+    return moved;
   }
 
   private Tally tallyOf(Series s) {
@@ -98,7 +112,7 @@
     }
     changed = false;
     evidence.accept(vm, startedMs, own, nowMs);
-    verdict = new VersionComparison(evidence, nowMs, state.step().isAll(), targets).verdict();
+    verdict = new VersionComparison(evidence, nowMs, moved, targets).verdict();
     routeAnswers = evidence.targetAnswers();
     failing = evidence.failingServers();
     if (halted.isEmpty() && !verdict.fault().isEmpty()) {
@@ -180,10 +194,12 @@
         unreported.computeIfPresent(s, (k, n) -> n <= 1 ? null : n - 1);
       }
     }
+    int step = state.step().number();
+    int applied = state.step() == RolloutStep.FINAL && !moved ? RolloutStep.WIDER.number() : step;
     return new ServiceReport(
         state.service(),
         state.startedMs(),
-        current ? state.step().number() : 0,
+        current ? applied : 0,
         halted,
         requests,
         targetRequests,
--- a/org.cowslipyoke/src/main/java/org/cowslipyoke/rollout/RolloutController.java
+++ b/org.cowslipyoke/src/main/java/org/cowslipyoke/rollout/RolloutController.java
@@ -15,31 +15,71 @@
   static final double MAX_SHARE = 0.8;
 
   /**
-   * Time between a fault after the last step and the last request to the target, for which the
-   * bound on exposure has to suffice, in milliseconds. Two reports and the answers themselves.
+   * Fraction of the bound on exposure that is kept for all requests between the move and the
+   * deadline, because a version may turn bad only then. The canary requests use the rest.
+   */
+  static final double MOVED_FRACTION = 0.5;
+
+  /**
+   * Minimum time between the move of all requests and the deadline, in milliseconds: 800 ms for the
+   * requests at old servers to end, and {@link #CLOSING_MS}.
+   */
+  static final long MOVED_MIN_MS = 1_400;
+
+  /**
+   * Time between a fault after the move and the last request to the target, in milliseconds. Two
+   * reports and the answers themselves. With little time the bound on exposure has to suffice at
+   * least for that.
    */
   static final long DETECTION_MS = 700;
 
+  /**
+   * Minimum share of {@link RolloutStep#WIDER}, as a fraction of the bound on exposure, with which
+   * all requests after the move are kept free; with less the evidence would be too weak.
+   */
+  static final double MIN_EVIDENCE = 0.3;
+
+  /** Maximum of that time in milliseconds; the platform's longest answers take a few seconds. */
+  static final long MOVED_MAX_MS = 10_000;
+
+  /** Maximum of that time as a fraction of the time of a rollout. */
+  static final double MOVED_MAX_FRACTION = 0.2;
+
+  /** Fraction of the slack that the initial allowances of the entries leave on average. */
+  static final double SLACK_LEFT = 0.5;
+
   /** Fraction of the bound on exposure at which a suspicion ends the last step. */
   static final double EXHAUSTED = 0.8;
 
-  /** Minimum duration of {@link RolloutStep#CANARY} and {@link RolloutStep#FINAL}, in ms. */
+  /** Minimum duration of {@link RolloutStep#CANARY}, and after the move, in milliseconds. */
   static final long MIN_STEP_MS = 1_000;
 
   /** Answers of the target that end {@link RolloutStep#CANARY}. */
   static final int CANARY_ANSWERS = 8;
 
+  /** Fraction of the time of a rollout after which fewer sound answers end that step. */
+  static final double CANARY_MAX_FRACTION = 0.15;
+
   /** Answers of the target without which not all requests are moved. */
   static final int FINAL_ANSWERS = 20;
 
-  /** Fraction of the time of a rollout that is left when all requests are moved. */
-  static final double FINAL_FRACTION = 0.2;
+  /** Answers that the share aims at, as a multiple of {@link #FINAL_ANSWERS}. */
+  static final double ANSWERS_MARGIN = 1.5;
 
-  /** Minimum of that time in milliseconds; a new owner needs 2.2 s to replace a killed one. */
+  /**
+   * Minimum time between the start of {@link RolloutStep#FINAL} and the deadline, in milliseconds;
+   * a new owner needs 2.2 s to replace a killed one.
+   */
   static final long FINAL_MIN_MS = 2_500;
 
-  /** Maximum of that time in milliseconds. */
-  static final long FINAL_MAX_MS = 10_000;
+  /** Minimum time for the entries to learn when all requests move, in milliseconds. */
+  static final long ANNOUNCED_MS = 500;
+
+  /**
+   * Time before the deadline before which the rollout does not succeed, in milliseconds. The old
+   * servers stop at the success, so a fault that shows later can't be undone.
+   */
+  static final long SUCCESS_MS = 1_000;
 
   /**
    * Time before the deadline at which the rollout succeeds although requests still run at old
@@ -47,6 +87,9 @@
    */
   static final long CLOSING_MS = 500;
 
+  /** Interval of the owner's decisions, in milliseconds. */
+  static final long DECISION_MS = 100;
+
   /**
    * What the owner knows.
    *
@@ -143,32 +186,64 @@
       String reason = listed ? "too few answers to decide on" : "no server has the version";
       return Optional.of(rolledBack(s, x, reason));
     }
-    long answers = x.verdict().targetAnswers();
-    boolean lasted = x.nowMs() - s.sinceMs() >= MIN_STEP_MS;
-    if (left <= finalMs(s.durationMs()) && left > CLOSING_MS && isProved(s, x)) {
-      return Optional.of(s.withStep(RolloutStep.FINAL, 1, x.nowMs(), ""));
+    if (x.nowMs() >= finalMs(s, x) && left > CLOSING_MS && isProved(s, x)) {
+      long moveMs = Math.max(x.nowMs(), s.deadlineMs() - movedMs(s, x));
+      return Optional.of(s.withStep(RolloutStep.FINAL, s.share(), moveMs, ""));
     }
-    if (s.step() == RolloutStep.CANARY && lasted && answers >= CANARY_ANSWERS) {
+    if (s.step() == RolloutStep.CANARY && hasAnswered(s, x)) {
       return Optional.of(s.withStep(RolloutStep.WIDER, widerShare(s, x), x.nowMs(), ""));
     }
     return Optional.empty();
   }
 
   /**
-   * Returns the share of {@link RolloutStep#WIDER}: what the bound on exposure leaves after {@link
-   * #DETECTION_MS} of all requests. Lost reports make it larger, but never above {@link
-   * #MAX_SHARE}.
+   * Returns whether the target has answered enough for a larger share. With little traffic or time
+   * the first share would take too long to get {@link #CANARY_ANSWERS}.
+   */
+  private static boolean hasAnswered(RolloutState s, Situation x) {
+    long lastedMs = x.nowMs() - s.sinceMs();
+    Verdict v = x.verdict();
+    boolean slow = lastedMs >= CANARY_MAX_FRACTION * s.durationMs();
+    boolean sound = v.targetAnswers() > 0 && v.targetFailures() == 0 && !v.suspected();
+    return lastedMs >= MIN_STEP_MS && (v.targetAnswers() >= CANARY_ANSWERS || (slow && sound));
+  }
+
+  /**
+   * Returns the share of {@link RolloutStep#WIDER}: what the bound on exposure leaves after all
+   * requests between the move and the deadline, or what {@link #FINAL_ANSWERS} need if that is
+   * more. Lost reports make it larger, but never above {@link #MAX_SHARE}.
    */
   private double widerShare(RolloutState s, Situation x) {
-    double share =
-        bounds.share() + bounds.slack() / expected(s, x) - DETECTION_MS / (double) s.durationMs();
-    return Math.max(MIN_SHARE, Math.min(MAX_SHARE, share / bounds.share())) * bounds.share();
+    double movedMs = movedMs(s, x);
+    double left = share(s, x, movedMs);
+    if (left < MIN_EVIDENCE * bounds.share()) {
+      left = share(s, x, DETECTION_MS);
+    }
+    double requests = expected(s, x) * (finalMs(s, x) - x.nowMs()) / s.durationMs();
+    double needed = ANSWERS_MARGIN * FINAL_ANSWERS / Math.max(1, requests);
+    double share = Math.max(left, needed) / bounds.share();
+    return Math.max(MIN_SHARE, Math.min(MAX_SHARE, share)) * bounds.share();
+  }
+
+  /** Returns the share that the bound leaves after all requests of a time in milliseconds. */
+  private double share(RolloutState s, Situation x, double allMs) {
+    return (boundMs(s, x) - allMs) / Math.max(1, s.durationMs() - allMs);
+  }
+
+  /** Returns the time at which {@link RolloutStep#FINAL} may begin. */
+  private long finalMs(RolloutState s, Situation x) {
+    return s.deadlineMs() - Math.max(FINAL_MIN_MS, movedMs(s, x) + ANNOUNCED_MS);
+  }
+
+  /** Returns the time for whose requests the bound on exposure suffices, in milliseconds. */
+  private double boundMs(RolloutState s, Situation x) {
+    return s.durationMs() * (bounds.share() + SLACK_LEFT * bounds.slack() / expected(s, x));
   }
 
   /** Returns the time before the deadline at which all requests are moved, in milliseconds. */
-  static long finalMs(long durationMs) {
-    long ms = Math.round(FINAL_FRACTION * durationMs);
-    return Math.max(FINAL_MIN_MS, Math.min(FINAL_MAX_MS, ms));
+  private long movedMs(RolloutState s, Situation x) {
+    double maxMs = Math.min(MOVED_MAX_MS, MOVED_MAX_FRACTION * s.durationMs());
+    return Math.round(Math.max(MOVED_MIN_MS, Math.min(maxMs, MOVED_FRACTION * boundMs(s, x))));
   }
 
   /**
@@ -194,7 +269,9 @@
 
   private Optional<RolloutState> end(RolloutState s, Situation x) {
     boolean lasted = x.nowMs() - s.sinceMs() >= MIN_STEP_MS;
-    boolean closing = s.deadlineMs() - x.nowMs() <= CLOSING_MS;
+    long left = s.deadlineMs() - x.nowMs();
+    boolean closing = left <= CLOSING_MS + DECISION_MS;
+    boolean ready = lasted && x.drained() && left <= SUCCESS_MS;
     boolean suspected = x.verdict().suspected();
     boolean exhausted =
         x.targetRequests() >= EXHAUSTED * (bounds.share() * expected(s, x) + bounds.slack());
@@ -202,7 +279,7 @@
       // The old servers stop at the success, which can't be undone.
       return Optional.of(rolledBack(s, x, "a fault is suspected at the end"));
     }
-    return closing || (lasted && x.drained() && !suspected)
+    return closing || (ready && !suspected)
         ? Optional.of(s.withStep(RolloutStep.SUCCEEDED, 1, x.nowMs(), ""))
         : Optional.empty();
   }
--- a/org.cowslipyoke/src/main/java/org/cowslipyoke/rollout/RolloutState.java
+++ b/org.cowslipyoke/src/main/java/org/cowslipyoke/rollout/RolloutState.java
@@ -18,7 +18,7 @@
  * @param share share of the requests that the target gets, from 0 to 1
  * @param startedMs lower bound of the time of the order; also identifies the rollout
  * @param durationMs time within which the rollout must end, in milliseconds
- * @param sinceMs time at which the step began
+ * @param sinceMs time at which the step began; of {@link RolloutStep#FINAL} when all requests move
  * @param reason why the rollout ended, empty before
  * @param closed whether the order was removed, so that the same order is a new one
  * @param owner VM of the entry that began the step, for operators
--- a/org.cowslipyoke/src/main/java/org/cowslipyoke/rollout/RolloutStep.java
+++ b/org.cowslipyoke/src/main/java/org/cowslipyoke/rollout/RolloutStep.java
@@ -6,7 +6,10 @@
   CANARY(1),
   /** A larger share, below the bound on exposure. */
   WIDER(2),
-  /** All requests go to the target; the old servers finish what they run. */
+  /**
+   * From the time of the step on, all requests go to the target, and the old servers finish what
+   * they run; until then the share remains.
+   */
   FINAL(3),
   /** The target has replaced the old versions, whose servers stop. */
   SUCCEEDED(4),
@@ -28,9 +31,4 @@
   public boolean isOver() {
     return this == SUCCEEDED || this == ROLLED_BACK;
   }
-
-  /** Returns whether all requests go to the target. */
-  public boolean isAll() {
-    return this == FINAL || this == SUCCEEDED;
-  }
 }
--- a/org.cowslipyoke/src/main/java/org/cowslipyoke/rollout/VersionComparison.java
+++ b/org.cowslipyoke/src/main/java/org/cowslipyoke/rollout/VersionComparison.java
@@ -65,14 +65,26 @@
    *
    * @param alphaFailures probability of a difference of failures by chance
    * @param alphaTimes the same for times, which depend on more than the version
-   * @param minBad minimum number of bad answers
+   * @param minFailures minimum number of failures
+   * @param minSlow minimum number of slow answers
    */
-  private record Thresholds(double alphaFailures, double alphaTimes, int minBad) {}
+  private record Thresholds(
+      double alphaFailures, double alphaTimes, int minFailures, int minSlow) {}
 
-  private static final Thresholds FAULT = new Thresholds(1e-5, 3e-5, 4);
+  /**
+   * Slow answers come together, for example at the end of a burst in which the target had more
+   * requests than after it, so more of them are needed than of failures.
+   */
+  private static final Thresholds FAULT = new Thresholds(1e-5, 3e-5, 4, 6);
 
   /** Thresholds of a difference that only delays the step to all requests. */
-  private static final Thresholds SUSPICION = new Thresholds(3e-3, 3e-3, 2);
+  private static final Thresholds SUSPICION = new Thresholds(3e-3, 3e-3, 2, 2);
+
+  /**
+   * Thresholds of such a difference since the order: a route with little traffic has only some
+   * answers in all. It would not pass like a recent one, so it must be less likely by chance.
+   */
+  private static final Thresholds LASTING_SUSPICION = new Thresholds(1e-3, 1e-3, 2, 2);
 
   private final Evidence evidence;
   private final long nowMs;
@@ -109,7 +121,10 @@
       Map<Series, Tally> recent = evidence.recent(nowMs);
       fault = fault(recent, FAULT);
       fault = fault.isEmpty() ? fault(evidence.total(), FAULT) : fault;
-      suspected = !fault.isEmpty() || !fault(recent, SUSPICION).isEmpty();
+      suspected =
+          !fault.isEmpty()
+              || !fault(recent, SUSPICION).isEmpty()
+              || !fault(evidence.total(), LASTING_SUSPICION).isEmpty();
     }
     return new Verdict(
         fault, suspected, target.answers(), target.failures(), old.answers(), old.failures());
@@ -123,23 +138,23 @@
     }
     for (String route : evidence.routes()) {
       BadAnswers f = failures(route, span);
-      if (isFaulty(f, 0, x.alphaFailures(), x.minBad())) {
+      if (isFaulty(f, 0, x.alphaFailures(), x.minFailures())) {
         return f.describe("failures", route);
       }
       failures.add(f);
       for (int i = 0; i < slow.length; i++) {
         BadAnswers s = slow(route, span, SLOW_FRACTIONS[i]);
-        if (isFaulty(s, MIN_SLOW_EXCESS, x.alphaTimes(), x.minBad())) {
+        if (isFaulty(s, MIN_SLOW_EXCESS, x.alphaTimes(), x.minSlow())) {
           return s.describe("slow answers", route);
         }
         slow[i].add(s);
       }
     }
-    if (isFaulty(failures, 0, x.alphaFailures(), x.minBad())) {
+    if (isFaulty(failures, 0, x.alphaFailures(), x.minFailures())) {
       return failures.describe("failures", ALL_ROUTES);
     }
     for (BadAnswers s : slow) {
-      if (isFaulty(s, MIN_SLOW_EXCESS, x.alphaTimes(), x.minBad())) {
+      if (isFaulty(s, MIN_SLOW_EXCESS, x.alphaTimes(), x.minSlow())) {
         return s.describe("slow answers", ALL_ROUTES);
       }
     }
