Keep memory of engines free for urgent and small prompts

Engines preempted 499 to 530 requests and prefilled them again, and evicted cached parts (1.21 to 1.24 million shared tokens read again). Of the late kiosk-ask prompts about half had their first event late, the others paused for more than the route's target within the stream. The admission limited only the prefill of less urgent work, not its memory.

Change: UrgentReserve, taken out of PromptAdmission. A less urgent prompt goes only to an engine whose free memory it fits; all but small ones (a twentieth of the memory) leave a tenth of it free. After half of its objective a prompt may go to an engine without another of its rank. A late prompt counts an engine as spare only if it has memory. Small prompts overtake larger ones that wait without room. Engines where the queued prefill takes longer than three quarters of the pause target cost more, by the number of their streams. PauseMetrics counts and logs pauses above the target. All of it acts only where prompts compete by urgency and the capacity or the target is set, but for PauseMetrics.

The simulation of PromptAdmissionTest now preempts as engines do.

--- /dev/null
+++ b/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/PauseMetrics.java
@@ -0,0 +1,77 @@
+package org.cowslipyoke.daemon.relay;
+
+import io.micrometer.core.instrument.Counter;
+import io.micrometer.core.instrument.MeterRegistry;
+import java.util.IdentityHashMap;
+import java.util.function.Function;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.cowslipyoke.relay.AttemptObserver;
+import org.cowslipyoke.relay.BackendServer;
+import org.cowslipyoke.relay.PeerLoads.Load;
+
+/**
+ * Counts and logs pauses of servers within streams that exceed the target of the route, which make
+ * a response late.
+ */
+public final class PauseMetrics implements AttemptObserver {
+
+  private static final Logger LOG = LogManager.getLogger(PauseMetrics.class);
+
+  /** Last content of a running stream. */
+  private record LastContent(long atMs, Load load) {}
+
+  private final MeterRegistry meters;
+  private final Function<BackendServer, Load> loads;
+  private final IdentityHashMap<Attempt, LastContent> streams = new IdentityHashMap<>();
+
+  /**
+   * Creates metrics.
+   *
+   * @param loads load of a server from all entries
+   */
+  public PauseMetrics(MeterRegistry meters, Function<BackendServer, Load> loads) {
+    this.meters = meters;
+    this.loads = loads;
+  }
+
+  @Override
+  public void contentReceived(Attempt a, long nowMs, boolean first) {
+    if (a.plan() == null || a.route().gapMs() <= 0) {
+      return;
+    }
+    Load load = loads.apply(a.server());
+    LastContent last;
+    synchronized (this) {
+      last = streams.put(a, new LastContent(nowMs, load));
+    }
+    if (last != null && nowMs - last.atMs() > a.route().gapMs()) {
+      recordPause(a, nowMs - last.atMs(), last.load(), load);
+    }
+  }
+
+  @Override
+  public synchronized void ended(Attempt a, Ended e) {
+    streams.remove(a);
+  }
+
+  private void recordPause(Attempt a, long pauseMs, Load before, Load after) {
+    Counter.builder("cowslipyoke_relay_long_pauses")
+        .tags("service", a.service(), "route", a.route().name())
+        .register(meters)
+        .increment();
+    LOG.info(
+        "pause in stream: request={} server={} route={} pauseMs={} targetMs={} prefillBefore={}"
+            + " prefillAfter={} residentBefore={} residentAfter={} running={}",
+        a.requestId(),
+        a.server().id(),
+        a.route().name(),
+        pauseMs,
+        a.route().gapMs(),
+        before.prefillTokens(),
+        after.prefillTokens(),
+        before.residentTokens(),
+        after.residentTokens(),
+        after.inFlight());
+  }
+}
--- a/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/RequestPlacement.java
+++ b/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/RequestPlacement.java
@@ -91,7 +91,13 @@
   Position waitingPosition(long bytes) {
     double objectiveMs = PromptAdmission.objectiveMs(admitted.route(), endMs - startMs);
     return new Position(
-        service, rank, organisation(), startMs + Math.round(objectiveMs), endMs, bytes);
+        service,
+        rank,
+        organisation(),
+        startMs + Math.round(objectiveMs),
+        endMs,
+        bytes,
+        PromptAdmission.isSmall(request.prompt(), admitted.desired().groups().get(service)));
   }
 
   /** Returns the priority that servers get. */
--- a/org.cowslipyoke.test/src/test/java/org/cowslipyoke/relay/AdmissionQueueTest.java
+++ b/org.cowslipyoke.test/src/test/java/org/cowslipyoke/relay/AdmissionQueueTest.java
@@ -19,7 +19,7 @@
 
   private Position position(int rank, String organisation, long objectiveMs, long deadlineMs) {
     long now = clock.nowMs();
-    return new Position("s", rank, organisation, now + objectiveMs, now + deadlineMs, 100);
+    return new Position("s", rank, organisation, now + objectiveMs, now + deadlineMs, 100, false);
   }
 
   private List<String> tried(Attempt result) {
@@ -48,6 +48,19 @@
     assertEquals(0, queue.size());
   }
 
+  /** Guards against short prompts that wait until a long one, of a more urgent rank, finds room. */
+  @Test
+  void smallRequestsOvertakeLargeOnesWithoutRoom() {
+    Position small = new Position("s", 2, "b", 500, 1_000, 100, true);
+    queue.offer("large", position(1, "a", 900, 2_000));
+    queue.offer("small", small);
+    queue.offer("large2", position(3, "c", 900, 2_000));
+    assertEquals(List.of("large", "small"), tried(Attempt.NO_ROOM));
+    assertTrue(queue.hasAhead(small));
+    assertTrue(queue.remove("small"));
+    assertFalse(queue.hasAhead(small));
+  }
+
   /** Guards against a queue that grows without bounds, and one that a single caller fills. */
   @Test
   void queueIsBounded() {
@@ -57,7 +70,7 @@
     queue.offer("b", position(2, "b", 900, 2_000));
     queue.offer("c", position(1, "c", 900, 2_000));
     assertEquals(Optional.of("b"), queue.offer("d", position(0, "d", 900, 2_000)));
-    Position large = new Position("s", 0, "e", 0, 0, 700);
+    Position large = new Position("s", 0, "e", 0, 0, 700, false);
     assertTrue(queue.offer("e", large).isPresent());
     assertTrue(queue.remove("d"));
     assertFalse(queue.remove("d"));
--- a/org.cowslipyoke.test/src/test/java/org/cowslipyoke/relay/AdmissionSimulation.java
+++ b/org.cowslipyoke.test/src/test/java/org/cowslipyoke/relay/AdmissionSimulation.java
@@ -19,7 +19,9 @@
 
 /**
  * Plays prompts of several kinds against entries and engines in virtual time. An engine admits
- * waiting prompts by priority while they fit its memory and prefills the admitted ones in order.
+ * waiting prompts by priority while they fit its memory and prefills the admitted ones in order. If
+ * the memory is full, a more urgent prompt preempts the newest of the least urgent requests, which
+ * is prefilled again later and counts as late.
  */
 final class AdmissionSimulation {
 
@@ -33,8 +35,18 @@
   private static final long DELAYED_MS = 150;
   private static final long PUMP_MS = 20;
 
-  /** Prompts of one kind from one organisation. */
-  record Kind(String organisation, int priority, long objectiveMs, int tokens, double perSecond) {
+  /** Prompts of one kind from one organisation, with the time that a response takes. */
+  record Kind(
+      String organisation,
+      int priority,
+      long objectiveMs,
+      int tokens,
+      double perSecond,
+      long answerMs) {
+
+    Kind(String organisation, int priority, long objectiveMs, int tokens, double perSecond) {
+      this(organisation, priority, objectiveMs, tokens, perSecond, ANSWER_MS);
+    }
 
     int rank() {
       return UrgencyRank.of(priority, objectiveMs < 600);
@@ -47,6 +59,7 @@
     int inTime;
     int late;
     int refused;
+    int preempted;
 
     double served() {
       return (inTime + late) / (double) asked;
@@ -58,7 +71,16 @@
 
     @Override
     public String toString() {
-      return asked + " asked, " + inTime + " in time, " + late + " late, " + refused + " refused";
+      return asked
+          + " asked, "
+          + inTime
+          + " in time, "
+          + late
+          + " late, "
+          + refused
+          + " refused, "
+          + preempted
+          + " preempted";
     }
   }
 
@@ -68,11 +90,26 @@
    * @param dark engines that don't answer
    * @param lostReports fraction of the load reports that are lost
    * @param replaced whether the decision before applies: one limit and no ranks
+   * @param memoryUnknown whether entries don't know the capacity of the engines' memory
    */
-  record Setting(int entries, int engines, int dark, double lostReports, boolean replaced) {
+  record Setting(
+      int entries,
+      int engines,
+      int dark,
+      double lostReports,
+      boolean replaced,
+      boolean memoryUnknown) {
+
+    Setting(int entries, int engines, int dark, double lostReports, boolean replaced) {
+      this(entries, engines, dark, lostReports, replaced, false);
+    }
 
     Setting replacedDecision() {
-      return new Setting(entries, engines, dark, lostReports, true);
+      return new Setting(entries, engines, dark, lostReports, true, false);
+    }
+
+    Setting withUnknownMemory() {
+      return new Setting(entries, engines, dark, lostReports, replaced, true);
     }
   }
 
@@ -109,56 +146,125 @@
     }
   }
 
-  private record Job(Call call, PromptWork work, ServerLoad load) {}
+  private static final class Job {
+    final Call call;
+    final PromptWork work;
+    final ServerLoad load;
+    boolean running;
+    boolean answered;
+    boolean inTime;
+
+    /** Number of times that the engine admitted it; events of earlier times have no effect. */
+    int admissions;
+
+    Job(Call call, PromptWork work, ServerLoad load) {
+      this.call = call;
+      this.work = work;
+      this.load = load;
+    }
+
+    int tokens() {
+      return call.kind.tokens();
+    }
+  }
 
   private final class Engine {
     final List<Job> waiting = new ArrayList<>();
     final Deque<Job> admitted = new ArrayDeque<>();
-    long resident;
+
+    /** Requests in memory, the newest last. */
+    final List<Job> resident = new ArrayList<>();
+
     int running;
     boolean busy;
 
     void add(Job j) {
       waiting.add(j);
-      waiting.sort(Comparator.comparingInt(x -> x.call().kind.rank()));
       admit();
     }
 
     private void admit() {
-      while (!waiting.isEmpty() && resident + waiting.get(0).call().kind.tokens() <= CAPACITY) {
+      waiting.sort(Comparator.comparingInt(x -> x.call.kind.rank()));
+      while (!waiting.isEmpty() && makeRoom(waiting.get(0))) {
         Job j = waiting.remove(0);
-        resident += j.call().kind.tokens();
+        j.admissions++;
+        resident.add(j);
         admitted.add(j);
       }
       if (!busy && !admitted.isEmpty()) {
         busy = true;
         Job j = admitted.remove();
         EngineProfile p = EngineProfile.INITIAL;
-        at(Math.round(p.prefillMs(j.call().kind.tokens(), running)), () -> prefilled(j));
+        int admission = j.admissions;
+        at(Math.round(p.prefillMs(j.tokens(), running)), () -> prefilled(j, admission));
       }
     }
 
-    private void prefilled(Job j) {
+    private boolean makeRoom(Job j) {
+      long used = resident.stream().mapToLong(Job::tokens).sum();
+      while (used + j.tokens() > CAPACITY) {
+        Job newest = null;
+        for (Job r : resident) {
+          int rank = r.call.kind.rank();
+          boolean yields = rank > j.call.kind.rank();
+          newest = yields && (newest == null || rank >= newest.call.kind.rank()) ? r : newest;
+        }
+        if (newest == null) {
+          return false;
+        }
+        used -= newest.tokens();
+        preempt(newest);
+      }
+      return true;
+    }
+
+    private void preempt(Job j) {
+      remove(j);
+      admitted.remove(j);
+      j.admissions++;
+      waiting.add(j);
+      Tally t = requireNonNull(tallies.get(j.call.kind));
+      t.preempted++;
+      t.inTime -= j.inTime ? 1 : 0;
+      t.late += j.inTime ? 1 : 0;
+      j.inTime = false;
+    }
+
+    private void prefilled(Job j, int admission) {
       busy = false;
-      running++;
+      if (j.admissions == admission) {
+        running++;
+        j.running = true;
+        at(FIRST_TOKEN_MS, () -> answer(j, admission));
+        at(j.call.kind.answerMs(), () -> end(j, admission));
+      }
       admit();
-      at(
-          FIRST_TOKEN_MS,
-          () -> {
-            Tally t = requireNonNull(tallies.get(j.call().kind));
-            boolean inTime = clock.nowMs() - j.call().startMs <= j.call().kind.objectiveMs();
-            t.inTime += inTime ? 1 : 0;
-            t.late += inTime ? 0 : 1;
-            j.load().recordPrefillEnd(j.work());
-          });
-      at(
-          ANSWER_MS,
-          () -> {
-            running--;
-            resident -= j.call().kind.tokens();
-            j.load().recordEnd(j.work());
-            admit();
-          });
+    }
+
+    private void answer(Job j, int admission) {
+      if (j.admissions != admission || j.answered) {
+        return;
+      }
+      j.answered = true;
+      Tally t = requireNonNull(tallies.get(j.call.kind));
+      j.inTime = clock.nowMs() - j.call.startMs <= j.call.kind.objectiveMs();
+      t.inTime += j.inTime ? 1 : 0;
+      t.late += j.inTime ? 0 : 1;
+      j.load.recordPrefillEnd(j.work);
+    }
+
+    private void end(Job j, int admission) {
+      if (j.admissions == admission) {
+        remove(j);
+        j.load.recordEnd(j.work);
+        admit();
+      }
+    }
+
+    private void remove(Job j) {
+      resident.remove(j);
+      running -= j.running ? 1 : 0;
+      j.running = false;
     }
   }
 
@@ -268,7 +374,8 @@
         c.kind.organisation(),
         c.startMs + c.kind.objectiveMs(),
         c.startMs + c.route.timeoutMs(),
-        9_000);
+        9_000,
+        PromptAdmission.isSmall(c.prompt, group(c.entry.fixture.state.get())));
   }
 
   private AdmissionQueue.Attempt decide(Call c) {
@@ -298,8 +405,15 @@
     }
   }
 
-  private static ServerGroup group(FleetState s) {
-    return requireNonNull(requireNonNull(s.desired()).groups().get(RelayFixture.GROUP));
+  private ServerGroup group(FleetState s) {
+    ServerGroup g = requireNonNull(requireNonNull(s.desired()).groups().get(RelayFixture.GROUP));
+    return setting.memoryUnknown()
+        ? new ServerGroup(
+            g.name(),
+            g.maxConnections(),
+            g.coldRequestsPerSecond(),
+            new ServerGroup.EngineConfig(128, 0, 35_000, 740_000, 12, true))
+        : g;
   }
 
   private void start(Call c, PromptPlan plan) {
--- a/org.cowslipyoke.test/src/test/java/org/cowslipyoke/relay/PromptAdmissionTest.java
+++ b/org.cowslipyoke.test/src/test/java/org/cowslipyoke/relay/PromptAdmissionTest.java
@@ -96,6 +96,23 @@
     assertTrue(of(now, digest).onTime() >= 0.95 && of(now, ask).onTime() >= 0.95, now.toString());
   }
 
+  /**
+   * The urgent prompts stay in memory for 4 s and the others need more than the rest of it, with
+   * prefill to spare. Guards against engines that preempt long prompts and prefill them again.
+   */
+  @Test
+  void longPromptsWaitForMemoryInsteadOfBeingPreempted() {
+    Kind digest = new Kind("a", 2, 1_200, 9_000, 30, 1_000);
+    Kind ask = new Kind("a", 0, 400, 830, 72, 4_000);
+    Setting setting = new Setting(5, 9, 0, 0, false);
+    var now = AdmissionSimulation.play(setting, digest, ask);
+    var before = AdmissionSimulation.play(setting.withUnknownMemory(), digest, ask);
+    System.out.println(text(now, before));
+    assertTrue(of(now, digest).preempted <= 0.2 * of(before, digest).preempted, text(now, before));
+    assertTrue(of(now, digest).inTime >= 0.8 * of(before, digest).inTime, text(now, before));
+    assertTrue(of(now, ask).onTime() >= 0.95, text(now, before));
+  }
+
   @Test
   void sharesAreMaxMinFair() {
     assertEquals(40, OrganisationShares.level(new double[] {10, 100, 100}, 90));
--- a/org.cowslipyoke/src/main/java/org/cowslipyoke/relay/AdmissionQueue.java
+++ b/org.cowslipyoke/src/main/java/org/cowslipyoke/relay/AdmissionQueue.java
@@ -14,7 +14,8 @@
 /**
  * Bounded queue of requests that wait at an entry for room at a server. The order is by rank of
  * urgency; within a rank, requests that can still be in time come before late ones, and then the
- * earlier deadline first. Thread-safe.
+ * earlier deadline first. Small requests overtake larger ones that find no room, which they delay
+ * little. Thread-safe.
  *
  * @param <T> type of the waiting requests
  */
@@ -24,7 +25,7 @@
   public enum Attempt {
     /** It was started or refused and leaves the queue. */
     SETTLED,
-    /** It waits for room; those after it in the same service wait too. */
+    /** It waits for room; those after it in the same service wait too, except much smaller ones. */
     NO_ROOM,
     /** It waits, and so do those after it of the same organisation; others may start. */
     ORGANISATION_WAITS
@@ -37,6 +38,7 @@
    * @param objectiveMs time until which its first event is in time, in monotonic milliseconds
    * @param deadlineMs deadline in monotonic milliseconds
    * @param bytes memory that it holds while it waits
+   * @param small whether it may overtake larger ones that find no room
    */
   public record Position(
       String service,
@@ -44,7 +46,8 @@
       @Nullable String organisation,
       long objectiveMs,
       long deadlineMs,
-      long bytes) {}
+      long bytes,
+      boolean small) {}
 
   private record Held(String service, int rank, @Nullable String organisation) {}
 
@@ -101,12 +104,13 @@
     }
   }
 
-  /** Returns whether requests wait that come before another one. */
+  /** Returns whether requests wait that another one may not overtake. */
   public synchronized boolean hasAhead(Position p) {
     Comparator<Position> order = order();
     return entries.stream()
         .map(Entry::position)
-        .anyMatch(e -> e.service().equals(p.service()) && order.compare(e, p) <= 0);
+        .filter(e -> e.service().equals(p.service()) && (e.small() || !p.small()))
+        .anyMatch(e -> order.compare(e, p) <= 0);
   }
 
   /** Returns the number of waiting requests. */
@@ -125,16 +129,19 @@
       waiting = entries.stream().sorted(entryOrder()).toList();
     }
     Set<String> full = new HashSet<>();
+    Set<String> fullForLarge = new HashSet<>();
     Set<Held> held = new HashSet<>();
     for (Entry<T> e : waiting) {
       Position p = e.position();
       Held group = new Held(p.service(), p.rank(), p.organisation());
-      if (full.contains(p.service()) || held.contains(group)) {
+      boolean isFull = full.contains(p.service());
+      isFull |= !p.small() && fullForLarge.contains(p.service());
+      if (isFull || held.contains(group)) {
         continue;
       }
       switch (start.apply(e.value())) {
         case SETTLED -> remove(e.value());
-        case NO_ROOM -> full.add(p.service());
+        case NO_ROOM -> (p.small() ? full : fullForLarge).add(p.service());
         case ORGANISATION_WAITS -> held.add(group);
         default -> throw new IllegalStateException("unknown result");
       }
--- a/org.cowslipyoke/src/main/java/org/cowslipyoke/relay/PromptAdmission.java
+++ b/org.cowslipyoke/src/main/java/org/cowslipyoke/relay/PromptAdmission.java
@@ -2,11 +2,9 @@
 
 import java.util.List;
 import java.util.Optional;
-import java.util.function.BooleanSupplier;
 import java.util.random.RandomGenerator;
 import org.cowslipyoke.errors.ErrorKind;
 import org.cowslipyoke.errors.Failure;
-import org.cowslipyoke.relay.PeerLoads.Load;
 import org.cowslipyoke.relay.PromptDemand.Urgent;
 import org.jspecify.annotations.Nullable;
 
@@ -21,18 +19,6 @@
  */
 public final class PromptAdmission {
 
-  /**
-   * Fraction of the time that urgent prompts can wait which less urgent work may take. The rest is
-   * for the other urgent prompts at the engine and for errors of the estimate.
-   */
-  static final double URGENT_SLACK_FRACTION = 1.0;
-
-  /**
-   * Fraction of the engines that must be without other prefill before a late prompt runs, so that
-   * it takes no room from prompts of other entries that can be in time.
-   */
-  static final double LATE_IDLE_FRACTION = 0.15;
-
   /**
    * Fraction of the objective up to which the engines may be busy before a prompt of an
    * organisation that has used up its share. The rest is left for the others.
@@ -132,6 +118,8 @@
     }
   }
 
+  private static final RouteTable NO_ROUTES = new RouteTable(List.of());
+
   private final PromptPlacement placement;
   private final PromptDemand demand;
   private final OrganisationShares shares;
@@ -162,6 +150,13 @@
     return route.objectiveMs() > 0 ? route.objectiveMs() : LoadShedder.DEFAULT_OBJECTIVE_MS;
   }
 
+  /** Returns whether a prompt may overtake larger ones that find no room. */
+  public static boolean isSmall(@Nullable Prompt p, @Nullable ServerGroup group) {
+    return p != null
+        && group != null
+        && UrgentReserve.Limits.of(group, NO_ROUTES).isSmall(p.promptTokens());
+  }
+
   /** Records that a prompt has arrived. */
   public void recordArrival(Applicant a) {
     double ownMs = EngineProfile.INITIAL.firstTokenOverheadMs();
@@ -175,7 +170,8 @@
       Applicant a, FleetState state, ServerGroup group, List<BackendServer> candidates) {
     Urgent urgent = a.begun() ? Urgent.NONE : demand.moreUrgentThan(a.service(), a.rank());
     double tried = a.waiting() ? MAX_CONTENDERS * INTERVAL_MS / (ANNOUNCE_MS * state.entries()) : 1;
-    Room room = new Room(urgent, a.rank(), () -> random.nextDouble() < tried);
+    UrgentReserve room =
+        new UrgentReserve(urgent, a, limits(state, group), () -> random.nextDouble() < tried);
     Optional<PromptPlan> roomy = choose(a, state, group, candidates, room);
     if (roomy.isEmpty()) {
       Optional<PromptPlan> any = choose(a, state, group, candidates, EngineRoom.ANY);
@@ -212,6 +208,11 @@
         .orElseGet(() -> new Verdict(plan.get(), null, Reason.NONE, estimateMs));
   }
 
+  private static UrgentReserve.Limits limits(FleetState state, ServerGroup group) {
+    RouteTable routes = state.desired() == null ? NO_ROUTES : state.desired().routes();
+    return UrgentReserve.Limits.of(group, routes);
+  }
+
   private Optional<PromptPlan> choose(
       Applicant a,
       FleetState state,
@@ -221,40 +222,8 @@
     return placement.choose(a.prompt(), a.rank(), a.organisation(), state, group, candidates, room);
   }
 
-  /** Engines that may get a prompt without making more urgent ones late. */
-  private static final class Room implements EngineRoom {
-    private final Urgent urgent;
-    private final int rank;
-    private final BooleanSupplier tried;
-    private int engines;
-    private int idle;
-
-    Room(Urgent urgent, int rank, BooleanSupplier tried) {
-      this.tried = tried;
-      this.urgent = urgent;
-      this.rank = rank;
-    }
-
-    @Override
-    public boolean hasRoom(Load load, PromptWork work, EngineProfile profile) {
-      engines++;
-      idle += load.upTo(rank).prefillTokens() <= 0 ? 1 : 0;
-      if (urgent.equals(Urgent.NONE)) {
-        return true;
-      }
-      long others = load.prefillTokens() - load.upTo(urgent.rank()).prefillTokens();
-      double ms = profile.prefillMs(others + work.prefillTokens(), load.inFlight());
-      boolean room = others <= 0 || ms <= URGENT_SLACK_FRACTION * urgent.slackMs();
-      return room && tried.getAsBoolean();
-    }
-
-    boolean isSpare() {
-      return idle > 0 && idle >= Math.floor(LATE_IDLE_FRACTION * engines);
-    }
-  }
-
   /** Returns why a prompt should not run at a server that has room for it. */
-  private Reason obstacle(Applicant a, PromptPlan plan, Room room) {
+  private Reason obstacle(Applicant a, PromptPlan plan, UrgentReserve room) {
     double endMs = a.elapsedMs() + plan.estimateMs();
     if (endMs > a.elapsedMs() + a.leftMs()) {
       return Reason.TOO_LATE;
--- a/org.cowslipyoke/src/main/java/org/cowslipyoke/relay/PromptPlacement.java
+++ b/org.cowslipyoke/src/main/java/org/cowslipyoke/relay/PromptPlacement.java
@@ -222,7 +222,8 @@
     int unread = Math.max(1, p.promptTokens() - held.tokens() - fetched);
     PromptWork work = PromptWork.of(context.rank(), p, salt, unread);
     Load load = context.load().loadAt(server);
-    if (!context.room().hasRoom(load, work, profiles.of(server))) {
+    long added = loads.of(server).addedTokens(work);
+    if (!context.room().hasRoom(load, work, added, profiles.of(server))) {
       return null;
     }
     double expected = expectedMs(context, server, load, work) + fetched * fetchMsPerToken(context);
@@ -230,6 +231,7 @@
     long ahead = profile.prefillTokensAhead(load, work.rank());
     double cost = expected + penaltyMs(context, server, old) + RANK_MS * position;
     cost += profile.crowdingMs(ahead, load.inFlight()) + overtakenMs(context, server, load, work);
+    cost += context.room().costMs(load, work, profile);
     return new ScoredServer(server, weights, salt, held, fetched, work, load, expected, cost);
   }
 
--- a/org.cowslipyoke/src/main/java/org/cowslipyoke/relay/RouteTable.java
+++ b/org.cowslipyoke/src/main/java/org/cowslipyoke/relay/RouteTable.java
@@ -16,6 +16,7 @@
   private final Map<String, List<Route>> byHost;
   private final Map<String, Long> shortestObjectives = new HashMap<>();
   private final Map<String, Long> longestObjectiveMs = new HashMap<>();
+  private final Map<String, Long> shortestGapMs = new HashMap<>();
 
   private final Set<String> competing;
 
@@ -26,6 +27,9 @@
       map.computeIfAbsent(r.host().toLowerCase(Locale.ROOT), h -> new ArrayList<>()).add(r);
       for (Route.Share s : r.shares()) {
         longestObjectiveMs.merge(s.service(), r.objectiveMs(), Math::max);
+        if (r.gapMs() > 0) {
+          shortestGapMs.merge(s.service(), r.gapMs(), Math::min);
+        }
         if (r.objectiveMs() > 0) {
           shortestObjectives.merge(s.service(), r.objectiveMs(), Math::min);
         }
@@ -64,6 +68,14 @@
     return longestObjectiveMs.getOrDefault(service, 0L);
   }
 
+  /**
+   * Returns the shortest of the longest pauses that the routes to a service allow between events,
+   * in milliseconds; 0 if none has a target.
+   */
+  public long shortestGapMs(String service) {
+    return shortestGapMs.getOrDefault(service, 0L);
+  }
+
   /**
    * Returns whether prompts of a service compete by urgency: some routes are more urgent than
    * others and have a much shorter objective, so that they are late behind work that is still in
