--- a/org.cowslipyoke.test/src/test/java/org/cowslipyoke/relay/AdmissionSimulation.java
+++ b/org.cowslipyoke.test/src/test/java/org/cowslipyoke/relay/AdmissionSimulation.java
@@ -2,10 +2,8 @@
 
 import static java.util.Objects.requireNonNull;
 
-import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Comparator;
-import java.util.Deque;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -17,19 +15,12 @@
 import org.cowslipyoke.relay.PromptAdmission.Applicant;
 import org.cowslipyoke.relay.PromptAdmission.Verdict;
 
-/**
- * Plays prompts of several kinds against entries and engines in virtual time. An engine admits
- * waiting prompts by priority while they fit its memory and prefills the admitted ones in order. If
- * the memory is full, a more urgent prompt preempts the newest of the least urgent requests, which
- * is prefilled again later and counts as late.
- */
+/** Plays prompts of several kinds against entries and engines in virtual time. */
 final class AdmissionSimulation {
 
   static final long SEED = 20_261_206;
   private static final long LENGTH_MS = 20_000;
-  private static final long CAPACITY = 64_000;
   private static final long ANSWER_MS = 300;
-  private static final long FIRST_TOKEN_MS = 5;
   private static final long REPORT_MS = 700;
   private static final long ANNOUNCE_MS = 3;
   private static final long DELAYED_MS = 150;
@@ -146,128 +137,6 @@
     }
   }
 
-  private static final class Job {
-    final Call call;
-    final PromptWork work;
-    final ServerLoad load;
-    boolean running;
-    boolean answered;
-    boolean inTime;
-
-    /** Number of times that the engine admitted it; events of earlier times have no effect. */
-    int admissions;
-
-    Job(Call call, PromptWork work, ServerLoad load) {
-      this.call = call;
-      this.work = work;
-      this.load = load;
-    }
-
-    int tokens() {
-      return call.kind.tokens();
-    }
-  }
-
-  private final class Engine {
-    final List<Job> waiting = new ArrayList<>();
-    final Deque<Job> admitted = new ArrayDeque<>();
-
-    /** Requests in memory, the newest last. */
-    final List<Job> resident = new ArrayList<>();
-
-    int running;
-    boolean busy;
-
-    void add(Job j) {
-      waiting.add(j);
-      admit();
-    }
-
-    private void admit() {
-      waiting.sort(Comparator.comparingInt(x -> x.call.kind.rank()));
-      while (!waiting.isEmpty() && makeRoom(waiting.get(0))) {
-        Job j = waiting.remove(0);
-        j.admissions++;
-        resident.add(j);
-        admitted.add(j);
-      }
-      if (!busy && !admitted.isEmpty()) {
-        busy = true;
-        Job j = admitted.remove();
-        EngineProfile p = EngineProfile.INITIAL;
-        int admission = j.admissions;
-        at(Math.round(p.prefillMs(j.tokens(), running)), () -> prefilled(j, admission));
-      }
-    }
-
-    private boolean makeRoom(Job j) {
-      long used = resident.stream().mapToLong(Job::tokens).sum();
-      while (used + j.tokens() > CAPACITY) {
-        Job newest = null;
-        for (Job r : resident) {
-          int rank = r.call.kind.rank();
-          boolean yields = rank > j.call.kind.rank();
-          newest = yields && (newest == null || rank >= newest.call.kind.rank()) ? r : newest;
-        }
-        if (newest == null) {
-          return false;
-        }
-        used -= newest.tokens();
-        preempt(newest);
-      }
-      return true;
-    }
-
-    private void preempt(Job j) {
-      remove(j);
-      admitted.remove(j);
-      j.admissions++;
-      waiting.add(j);
-      Tally t = requireNonNull(tallies.get(j.call.kind));
-      t.preempted++;
-      t.inTime -= j.inTime ? 1 : 0;
-      t.late += j.inTime ? 1 : 0;
-      j.inTime = false;
-    }
-
-    private void prefilled(Job j, int admission) {
-      busy = false;
-      if (j.admissions == admission) {
-        running++;
-        j.running = true;
-        at(FIRST_TOKEN_MS, () -> answer(j, admission));
-        at(j.call.kind.answerMs(), () -> end(j, admission));
-      }
-      admit();
-    }
-
-    private void answer(Job j, int admission) {
-      if (j.admissions != admission || j.answered) {
-        return;
-      }
-      j.answered = true;
-      Tally t = requireNonNull(tallies.get(j.call.kind));
-      j.inTime = clock.nowMs() - j.call.startMs <= j.call.kind.objectiveMs();
-      t.inTime += j.inTime ? 1 : 0;
-      t.late += j.inTime ? 0 : 1;
-      j.load.recordPrefillEnd(j.work);
-    }
-
-    private void end(Job j, int admission) {
-      if (j.admissions == admission) {
-        remove(j);
-        j.load.recordEnd(j.work);
-        admit();
-      }
-    }
-
-    private void remove(Job j) {
-      resident.remove(j);
-      running -= j.running ? 1 : 0;
-      j.running = false;
-    }
-  }
-
   private final class Entry {
     final RelayFixture fixture = new RelayFixture(clock);
     final PromptPlacement placement = fixture.placement();
@@ -282,7 +151,7 @@
   private final Random random = new Random(SEED);
   private final PriorityQueue<Event> events =
       new PriorityQueue<>(Comparator.comparing(Event::atMs).thenComparing(Event::order));
-  private final Map<String, Engine> engines = new HashMap<>();
+  private final Map<String, SimulatedEngine> engines = new HashMap<>();
   private final Set<String> dark = new java.util.HashSet<>();
   private final List<Entry> entries = new ArrayList<>();
   final Map<Kind, Tally> tallies = new HashMap<>();
@@ -294,7 +163,7 @@
     BackendServer[] servers = new BackendServer[setting.engines()];
     for (int i = 0; i < servers.length; i++) {
       servers[i] = RelayFixture.server("s" + i, 1);
-      engines.put("s" + i, new Engine());
+      engines.put("s" + i, new SimulatedEngine(clock, this::at, tallies));
       if (i < setting.dark()) {
         dark.add("s" + i);
       }
@@ -420,7 +289,8 @@
     ServerLoad load = c.entry.fixture.loads.of(plan.server());
     load.recordStart(plan.work());
     if (!dark.contains(plan.server().id())) {
-      requireNonNull(engines.get(plan.server().id())).add(new Job(c, plan.work(), load));
+      requireNonNull(engines.get(plan.server().id()))
+          .add(new SimulatedEngine.Job(c.kind, c.startMs, plan.work(), load));
     }
   }
 
