--- a/org.cowslipyoke.test/src/test/java/org/cowslipyoke/relay/AdmissionSimulation.java
+++ b/org.cowslipyoke.test/src/test/java/org/cowslipyoke/relay/AdmissionSimulation.java
@@ -2,10 +2,8 @@
 
 import static java.util.Objects.requireNonNull;
 
-import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Comparator;
-import java.util.Deque;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -17,24 +15,29 @@
 import org.cowslipyoke.relay.PromptAdmission.Applicant;
 import org.cowslipyoke.relay.PromptAdmission.Verdict;
 
-/**
- * Plays prompts of several kinds against entries and engines in virtual time. An engine admits
- * waiting prompts by priority while they fit its memory and prefills the admitted ones in order.
- */
+/** Plays prompts of several kinds against entries and engines in virtual time. */
 final class AdmissionSimulation {
 
   static final long SEED = 20_261_206;
   private static final long LENGTH_MS = 20_000;
-  private static final long CAPACITY = 64_000;
   private static final long ANSWER_MS = 300;
-  private static final long FIRST_TOKEN_MS = 5;
   private static final long REPORT_MS = 700;
   private static final long ANNOUNCE_MS = 3;
   private static final long DELAYED_MS = 150;
   private static final long PUMP_MS = 20;
 
-  /** Prompts of one kind from one organisation. */
-  record Kind(String organisation, int priority, long objectiveMs, int tokens, double perSecond) {
+  /** Prompts of one kind from one organisation, with the time that a response takes. */
+  record Kind(
+      String organisation,
+      int priority,
+      long objectiveMs,
+      int tokens,
+      double perSecond,
+      long answerMs) {
+
+    Kind(String organisation, int priority, long objectiveMs, int tokens, double perSecond) {
+      this(organisation, priority, objectiveMs, tokens, perSecond, ANSWER_MS);
+    }
 
     int rank() {
       return UrgencyRank.of(priority, objectiveMs < 600);
@@ -47,6 +50,7 @@
     int inTime;
     int late;
     int refused;
+    int preempted;
 
     double served() {
       return (inTime + late) / (double) asked;
@@ -58,7 +62,16 @@
 
     @Override
     public String toString() {
-      return asked + " asked, " + inTime + " in time, " + late + " late, " + refused + " refused";
+      return asked
+          + " asked, "
+          + inTime
+          + " in time, "
+          + late
+          + " late, "
+          + refused
+          + " refused, "
+          + preempted
+          + " preempted";
     }
   }
 
@@ -68,11 +81,26 @@
    * @param dark engines that don't answer
    * @param lostReports fraction of the load reports that are lost
    * @param replaced whether the decision before applies: one limit and no ranks
+   * @param memoryUnknown whether entries don't know the capacity of the engines' memory
    */
-  record Setting(int entries, int engines, int dark, double lostReports, boolean replaced) {
+  record Setting(
+      int entries,
+      int engines,
+      int dark,
+      double lostReports,
+      boolean replaced,
+      boolean memoryUnknown) {
+
+    Setting(int entries, int engines, int dark, double lostReports, boolean replaced) {
+      this(entries, engines, dark, lostReports, replaced, false);
+    }
 
     Setting replacedDecision() {
-      return new Setting(entries, engines, dark, lostReports, true);
+      return new Setting(entries, engines, dark, lostReports, true, false);
+    }
+
+    Setting withUnknownMemory() {
+      return new Setting(entries, engines, dark, lostReports, replaced, true);
     }
   }
 
@@ -109,59 +137,6 @@
     }
   }
 
-  private record Job(Call call, PromptWork work, ServerLoad load) {}
-
-  private final class Engine {
-    final List<Job> waiting = new ArrayList<>();
-    final Deque<Job> admitted = new ArrayDeque<>();
-    long resident;
-    int running;
-    boolean busy;
-
-    void add(Job j) {
-      waiting.add(j);
-      waiting.sort(Comparator.comparingInt(x -> x.call().kind.rank()));
-      admit();
-    }
-
-    private void admit() {
-      while (!waiting.isEmpty() && resident + waiting.get(0).call().kind.tokens() <= CAPACITY) {
-        Job j = waiting.remove(0);
-        resident += j.call().kind.tokens();
-        admitted.add(j);
-      }
-      if (!busy && !admitted.isEmpty()) {
-        busy = true;
-        Job j = admitted.remove();
-        EngineProfile p = EngineProfile.INITIAL;
-        at(Math.round(p.prefillMs(j.call().kind.tokens(), running)), () -> prefilled(j));
-      }
-    }
-
-    private void prefilled(Job j) {
-      busy = false;
-      running++;
-      admit();
-      at(
-          FIRST_TOKEN_MS,
-          () -> {
-            Tally t = requireNonNull(tallies.get(j.call().kind));
-            boolean inTime = clock.nowMs() - j.call().startMs <= j.call().kind.objectiveMs();
-            t.inTime += inTime ? 1 : 0;
-            t.late += inTime ? 0 : 1;
-            j.load().recordPrefillEnd(j.work());
-          });
-      at(
-          ANSWER_MS,
-          () -> {
-            running--;
-            resident -= j.call().kind.tokens();
-            j.load().recordEnd(j.work());
-            admit();
-          });
-    }
-  }
-
   private final class Entry {
     final RelayFixture fixture = new RelayFixture(clock);
     final PromptPlacement placement = fixture.placement();
@@ -176,7 +151,7 @@
   private final Random random = new Random(SEED);
   private final PriorityQueue<Event> events =
       new PriorityQueue<>(Comparator.comparing(Event::atMs).thenComparing(Event::order));
-  private final Map<String, Engine> engines = new HashMap<>();
+  private final Map<String, SimulatedEngine> engines = new HashMap<>();
   private final Set<String> dark = new java.util.HashSet<>();
   private final List<Entry> entries = new ArrayList<>();
   final Map<Kind, Tally> tallies = new HashMap<>();
@@ -188,7 +163,7 @@
     BackendServer[] servers = new BackendServer[setting.engines()];
     for (int i = 0; i < servers.length; i++) {
       servers[i] = RelayFixture.server("s" + i, 1);
-      engines.put("s" + i, new Engine());
+      engines.put("s" + i, new SimulatedEngine(clock, this::at, tallies));
       if (i < setting.dark()) {
         dark.add("s" + i);
       }
@@ -268,7 +243,8 @@
         c.kind.organisation(),
         c.startMs + c.kind.objectiveMs(),
         c.startMs + c.route.timeoutMs(),
-        9_000);
+        9_000,
+        PromptAdmission.isSmall(c.prompt, group(c.entry.fixture.state.get())));
   }
 
   private AdmissionQueue.Attempt decide(Call c) {
@@ -298,15 +274,23 @@
     }
   }
 
-  private static ServerGroup group(FleetState s) {
-    return requireNonNull(requireNonNull(s.desired()).groups().get(RelayFixture.GROUP));
+  private ServerGroup group(FleetState s) {
+    ServerGroup g = requireNonNull(requireNonNull(s.desired()).groups().get(RelayFixture.GROUP));
+    return setting.memoryUnknown()
+        ? new ServerGroup(
+            g.name(),
+            g.maxConnections(),
+            g.coldRequestsPerSecond(),
+            new ServerGroup.EngineConfig(128, 0, 35_000, 740_000, 12, true))
+        : g;
   }
 
   private void start(Call c, PromptPlan plan) {
     ServerLoad load = c.entry.fixture.loads.of(plan.server());
     load.recordStart(plan.work());
     if (!dark.contains(plan.server().id())) {
-      requireNonNull(engines.get(plan.server().id())).add(new Job(c, plan.work(), load));
+      requireNonNull(engines.get(plan.server().id()))
+          .add(new SimulatedEngine.Job(c.kind, c.startMs, plan.work(), load));
     }
   }
 
