Split the relayed request and the document exchange by purpose

Change: no behaviour. ServerCall sends, resends and aborts the request of an attempt; FinalResponse gives the caller of an exchange that ended without a complete response its failure or its cut, with the log line; VersionNotices tells peers of new versions. The logger of the lines "own answer", "answer cut" and "caller left" is FinalResponse now, that of "abort failed" ServerCall.

--- a/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/RelayAttempt.java
+++ b/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/RelayAttempt.java
@@ -3,10 +3,7 @@
 import java.io.EOFException;
 import java.net.SocketException;
 import java.nio.ByteBuffer;
-import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
-import org.apache.logging.log4j.LogManager;
-import org.apache.logging.log4j.Logger;
 import org.cowslipyoke.daemon.relay.RelayDialect.ResponseHead;
 import org.cowslipyoke.failover.RunCopy;
 import org.cowslipyoke.http.HttpConnector;
@@ -20,7 +17,6 @@
 import org.cowslipyoke.relay.ServerLoad;
 import org.cowslipyoke.relay.ServerNotice;
 import org.cowslipyoke.util.MalformedResponseException;
-import org.eclipse.jetty.client.BytesRequestContent;
 import org.eclipse.jetty.client.Request;
 import org.eclipse.jetty.client.Response;
 import org.eclipse.jetty.client.Result;
@@ -33,28 +29,21 @@
  */
 final class RelayAttempt implements Response.Listener {
 
-  /** Time by which Jetty's time-out exceeds the deadline of the request, in milliseconds. */
-  private static final long JETTY_GRACE_MS = 2_000;
-
   /**
    * Time after the first content of a response after which its server has survived the beginning of
    * the response, in milliseconds.
    */
   private static final long BEGUN_MS = 100;
 
-  private static final Logger LOG = LogManager.getLogger(RelayAttempt.class);
-
   private final RelayExchange exchange;
   private final BackendServer server;
   private final @Nullable PromptPlan plan;
-  private final @Nullable RunCopy copy;
+  private final ServerCall call;
   private final PromptWork work;
   private final ServerLoad load;
   private final EventSplitter events;
   private final ResponseBuffer buffer;
   private final long startMs;
-  private volatile boolean sent;
-  private volatile @Nullable Request jetty;
   private volatile @Nullable ResponseHead head;
   private HttpFields headers = HttpFields.EMPTY;
   private final AtomicLong receivedBytes = new AtomicLong();
@@ -62,7 +51,6 @@
   private boolean streaming;
   private boolean promptRead;
   private long firstContentMs;
-  private int resends;
   private volatile boolean ended;
   private volatile boolean left;
   private final AttemptObservers observers;
@@ -76,7 +64,7 @@
     this.exchange = exchange;
     this.server = server;
     this.plan = plan;
-    this.copy = copy;
+    this.call = new ServerCall(exchange, server, plan, copy, this);
     this.work = plan == null ? PromptWork.NONE : plan.work();
     this.load = exchange.services().loads().of(server);
     this.events = new EventSplitter(exchange.run().lastEventId());
@@ -109,46 +97,7 @@
   void send() {
     load.recordStart(work);
     observers.started(attempt);
-    post();
-  }
-
-  private void post() {
-    HttpFields out =
-        exchange
-            .services()
-            .dialect()
-            .serverRequestHeaders(
-                exchange.caller().headers(), exchange.outbound(server, plan, copy));
-    long leftMs = exchange.leftMs();
-    Request r =
-        exchange
-            .services()
-            .client()
-            .newRequest(server.host(), server.port())
-            .method(exchange.request().method())
-            .path(exchange.request().target())
-            .headers(h -> h.clear().add(out))
-            .timeout(leftMs + JETTY_GRACE_MS, TimeUnit.MILLISECONDS)
-            .idleTimeout(leftMs + JETTY_GRACE_MS, TimeUnit.MILLISECONDS)
-            .onRequestBegin(this::claimSend);
-    if (exchange.body().length > 0) {
-      r.body(new BytesRequestContent(out.get("Content-Type"), exchange.body()));
-    }
-    r.send(this);
-    // Set only now: an abort before the sending has no effect in Jetty, but makes later ones void.
-    jetty = r;
-    if (exchange.isOver()) {
-      abort();
-    }
-  }
-
-  /** Stops a request that has ended while it waited for a connection, before it is written. */
-  private void claimSend(Request r) {
-    if (exchange.claimSend()) {
-      sent = true;
-    } else {
-      var unused = r.abort(new IllegalStateException("the request ended before it was sent"));
-    }
+    call.send();
   }
 
   /** Returns the time since the request was sent or the last byte was received, in milliseconds. */
@@ -159,7 +108,7 @@
   /** Closes the connection to a server that has stopped responding, which ends the attempt. */
   void leaveServer() {
     left = true;
-    abort("the server does not respond");
+    call.abort("the server does not respond");
   }
 
   /**
@@ -176,20 +125,7 @@
    */
   void abort() {
     if (!ended) {
-      abort("the request ended");
-    }
-  }
-
-  private void abort(String reason) {
-    Request r = jetty;
-    if (r == null) {
-      return;
-    }
-    try {
-      var unused = r.abort(new IllegalStateException(reason));
-    } catch (RuntimeException e) {
-      // Jetty may throw for a request that is just being sent; the caller must still be answered.
-      LOG.warn("abort failed: request={} reason={}", exchange.request().id(), e.toString());
+      call.abort("the request ended");
     }
   }
 
@@ -292,14 +228,9 @@
     if (ended) {
       return;
     }
-    if (resends < HttpConnector.MAX_RESENDS
-        && HttpConnector.isNotSent(result.getFailure())
-        && !exchange.isOver()) {
-      resends++;
-      post();
-      return;
+    if (!call.resend(result)) {
+      end(result.getResponseFailure(), result.getRequest());
     }
-    end(result.getResponseFailure(), result.getRequest());
   }
 
   /**
@@ -330,7 +261,7 @@
     ResponseHead h = head;
     observers.ended(attempt, outcome(failure, h));
     if (failure != null || h == null) {
-      sent &= !HttpConnector.isNotSent(failure);
+      call.recordFailure(failure);
       recordLostServer(failure, request);
       broken(AttemptLog.summary(failure));
       return;
@@ -349,7 +280,10 @@
   private Ended outcome(@Nullable Throwable failure, @Nullable ResponseHead h) {
     AttemptEnd end = null;
     if (failure != null || h == null) {
-      end = sent && !HttpConnector.isNotSent(failure) ? AttemptEnd.BROKEN : AttemptEnd.NOT_SENT;
+      end =
+          call.isSent() && !HttpConnector.isNotSent(failure)
+              ? AttemptEnd.BROKEN
+              : AttemptEnd.NOT_SENT;
     } else if (h.misdirected()) {
       end = AttemptEnd.MISDIRECTED;
     } else if (h.notRun()) {
@@ -441,7 +375,7 @@
   }
 
   private void broken(String reason) {
-    AttemptEnd end = sent ? AttemptEnd.BROKEN : AttemptEnd.NOT_SENT;
+    AttemptEnd end = call.isSent() ? AttemptEnd.BROKEN : AttemptEnd.NOT_SENT;
     if (!exchange.isOver()) {
       load.recordFailure(1);
     }
--- a/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/RelayExchange.java
+++ b/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/RelayExchange.java
@@ -9,6 +9,7 @@
 import java.util.function.Consumer;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
+import org.cowslipyoke.daemon.relay.FinalResponse.End;
 import org.cowslipyoke.daemon.relay.RelayDialect.ServerRequest;
 import org.cowslipyoke.daemon.relay.RequestPlacement.Result;
 import org.cowslipyoke.errors.ErrorKind;
@@ -53,6 +54,7 @@
   private @Nullable RelayAttempt attempt;
   private @Nullable Future<?> timer;
   private final RequestLifecycle life = new RequestLifecycle();
+  private final FinalResponse finalResponse = new FinalResponse(this);
 
   RelayExchange(
       RelayContext services,
@@ -320,84 +322,34 @@
       return;
     }
     if (e.phase() == Phase.RESPONDING) {
-      cutCaller(e, "the time of the request is up");
+      finalResponse.cut(e, "the time of the request is up");
     } else {
-      sendFailure(e, run.timeoutFailure(e.phase() == Phase.SENT));
+      finalResponse.sendFailure(e, run.timeoutFailure(e.phase() == Phase.SENT));
     }
   }
 
   private void onCallerDisconnect() {
     End e = end();
-    if (e == null) {
-      return;
+    if (e != null) {
+      finalResponse.callerLeft(e);
     }
-    RelayAttempt a = e.attempt();
-    LOG.info(
-        "caller left: request={} server={} received={} elapsedMs={}",
-        request.id(),
-        a == null ? "" : a.server().id(),
-        a == null ? "none" : a.progress(),
-        elapsedMs());
-    caller.cut(new IllegalStateException("the caller left"));
   }
 
   /** Breaks off the response. */
   void cut(String reason) {
     End e = end();
     if (e != null) {
-      cutCaller(e, reason);
+      finalResponse.cut(e, reason);
     }
   }
 
   private void fail(Failure f) {
     End e = end();
-    if (e == null) {
-      return;
-    }
-    if (e.phase() == Phase.RESPONDING) {
-      cutCaller(e, "the answer can't go on: " + f.message());
-    } else {
-      sendFailure(e, f);
+    if (e != null) {
+      finalResponse.fail(e, f);
     }
   }
 
-  private void cutCaller(End e, String reason) {
-    RelayAttempt a = e.attempt();
-    LOG.info(
-        "answer cut: request={} server={} reason={} received={} elapsedMs={}",
-        request.id(),
-        a == null ? "" : a.server().id(),
-        reason,
-        a == null ? "" : a.progress(),
-        elapsedMs());
-    caller.cut(new IllegalStateException(reason));
-  }
-
-  private void sendFailure(End e, Failure f) {
-    services.metrics().own(f.kind());
-    RelayAttempt a = e.attempt();
-    LOG.info(
-        "own answer: request={} route={} service={} server={} kind={} reason={} tries={}"
-            + " elapsedMs={}",
-        request.id(),
-        admitted.route().name(),
-        service,
-        a == null ? "" : a.server().id(),
-        f.kind(),
-        f.message(),
-        run.attempts(),
-        elapsedMs());
-    caller.sendFailure(f, request.id());
-  }
-
-  /**
-   * The end of the exchange.
-   *
-   * @param phase phase in which it was ended
-   * @param attempt attempt that was in flight and is now aborted, null if there was none
-   */
-  private record End(Phase phase, @Nullable RelayAttempt attempt) {}
-
   /** Ends the exchange; returns null if it had ended before. */
   private @Nullable End end() {
     Optional<Phase> phase;
--- a/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/runtime/DocumentExchange.java
+++ b/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/runtime/DocumentExchange.java
@@ -13,7 +13,6 @@
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.cowslipyoke.daemon.runtime.Replica.Acceptance;
-import org.cowslipyoke.errors.Failure;
 import org.cowslipyoke.lease.PauseDetector;
 import org.cowslipyoke.message.Message;
 import org.cowslipyoke.message.Message.Document;
@@ -80,7 +79,7 @@
 
   private final ExchangeStats stats = new ExchangeStats();
   private final Map<String, Long> pullUntilMs = new ConcurrentHashMap<>();
-  private final Map<String, Long> notifiedVersions = new ConcurrentHashMap<>();
+  private final VersionNotices notices;
   private final AtomicBoolean catchUpInProgress = new AtomicBoolean();
   private final AtomicBoolean readInProgress = new AtomicBoolean();
   private volatile StreamOpener opener = new UnconnectedOpener();
@@ -111,6 +110,7 @@
     this.workers = workers;
     this.random = random;
     this.replicas = replicas;
+    this.notices = new VersionNotices(replicas, peers, stats);
     this.catchUpReplicas = List.of(replicas.get(1), replicas.get(0));
     this.nextCatchUpMs = clock.nowMs();
     this.nextReadMs = clock.nowMs() + MIN_HEAD_READ_INTERVAL_MS;
@@ -344,29 +344,9 @@
 
   /** Sends notices if a version has increased, including one that the role itself activated. */
   private void notifyNewVersions() {
-    boolean grown = false;
-    for (Replica r : replicas) {
-      long version = r.version();
-      Long before = notifiedVersions.put(r.name(), version);
-      grown |= version > (before == null ? 0 : before);
+    if (notices.hasGrown() && isEntry) {
+      submit(() -> notices.send(opener));
     }
-    if (grown && isEntry) {
-      submit(this::sendNotices);
-    }
-  }
-
-  private void sendNotices() {
-    peers.refresh();
-    peers.assignedServers().forEach(this::sendNotice);
-    peers.randomEntries(NOTIFIED_ENTRIES).forEach(this::sendNotice);
-  }
-
-  private void sendNotice(Vm target) {
-    MessageStream stream = opener.open(target.host(), target.port(), new IgnoringHandler());
-    if (stream.send(new Notice())) {
-      stats.noticesSent.increment();
-    }
-    stream.close();
   }
 
   /**
@@ -404,19 +384,6 @@
     stream.send(document);
   }
 
-  /**
-   * Handler of a notice. A notice has no response, and a peer that is unreachable learns the
-   * version from other processes.
-   */
-  private static final class IgnoringHandler implements StreamHandler {
-
-    @Override
-    public void onMessage(MessageStream stream, Message message) {}
-
-    @Override
-    public void onClosed(MessageStream stream, Failure failure) {}
-  }
-
   private static final class UnconnectedOpener implements StreamOpener {
 
     @Override
