Show leaving and backing-off servers in status

Cause: status printed neither of the two gauges of an entry, so operators had to read its metrics page to see why it avoids servers.

Result: MetricsTest passes; it fails before (empty summary).

--- a/org.cowslipyoke.pgm/src/main/java/org/cowslipyoke/pgm/Metrics.java
+++ b/org.cowslipyoke.pgm/src/main/java/org/cowslipyoke/pgm/Metrics.java
@@ -12,9 +12,12 @@
 
   private static final String PREFIX = "cowslipyoke_";
 
-  /** Parts of the names of the metrics in the summary: allowance, queue, links and rollouts. */
+  /**
+   * Parts of the names of the metrics in the summary: allowance, queue, links, rollouts, and
+   * servers that are leaving or want no requests for a time.
+   */
   private static final List<String> SUMMARY_NAME_PARTS =
-      List.of("allowance", "queued", "queue_", "link", "rollout_");
+      List.of("allowance", "queued", "queue_", "link", "rollout_", "servers_");
 
   private final Map<String, Double> values;
 
@@ -45,9 +48,7 @@
     return n;
   }
 
-  /**
-   * Returns the non-zero allowance, queue, link and rollout metrics except buckets, on one line.
-   */
+  /** Returns the non-zero metrics of the summary except buckets, on one line. */
   String summary() {
     List<String> parts = new ArrayList<>();
     values.forEach(
