Keep the max-min bound while a failure domain is stalled

Cause: the cost of leaving a stalled failure domain left out the bound that protects the callers of domains without room, and a domain whose prompts wait for memory could count as stalled.

Change: the bound holds, and the expected time includes waits for memory.

--- a/org.cowslipyoke/src/main/java/org/cowslipyoke/relay/DomainOverflow.java
+++ b/org.cowslipyoke/src/main/java/org/cowslipyoke/relay/DomainOverflow.java
@@ -135,12 +135,10 @@
       if (c.regime() == Regime.UNKNOWN || c.isLeaving(domain, crossing.draw())) {
         return ms;
       }
-      if (clock.nowMs() < s.stalledUntilMs) {
-        // Prompts that wait at the stalled engines end unseen, so that home must not win by its
-        // short queue.
-        return ms - STAY_MS;
-      }
-      return ms + STAY_MS + (isClosed(c, domain) ? NO_ROOM_MS : 0);
+      // Prompts that wait at stalled engines end unseen, so that home must not win by its short
+      // queue.
+      double stay = clock.nowMs() < s.stalledUntilMs ? -STAY_MS : STAY_MS;
+      return ms + stay + (isClosed(c, domain) ? NO_ROOM_MS : 0);
     }
   }
 
@@ -187,11 +185,11 @@
     }
     s.nextStepMs = now + INTERVAL_MS;
     FleetState fleet = state.get();
-    if (pressures.isStalled(fleet, name, ownDomain)) {
+    long promptTokens = Math.round(s.meanBytes / PromptPlacement.BYTES_PER_TOKEN);
+    if (pressures.isStalled(fleet, name, ownDomain, promptTokens)) {
       s.stalledUntilMs = now + STALL_HOLD_MS;
     }
-    Map<String, DomainPressure> read =
-        pressures.read(fleet, name, Math.round(s.meanBytes / PromptPlacement.BYTES_PER_TOKEN));
+    Map<String, DomainPressure> read = pressures.read(fleet, name, promptTokens);
     String before = regimeName(s.controller);
     if (pressures.isFleetKnown(fleet)) {
       s.controller.step(now, read, objectiveMs(fleet, name), crossingMs(s.meanBytes));
--- a/org.cowslipyoke/src/main/java/org/cowslipyoke/relay/DomainPressureReader.java
+++ b/org.cowslipyoke/src/main/java/org/cowslipyoke/relay/DomainPressureReader.java
@@ -70,15 +70,20 @@
    * Returns whether the engines of a failure domain seem to have stopped: a prompt of this entry is
    * overdue there, and none has ended its prefill meanwhile.
    */
-  boolean isStalled(FleetState state, String service, String domain) {
+  boolean isStalled(FleetState state, String service, String domain, long promptTokens) {
+    ServerGroup group = state.desired() == null ? null : state.desired().groups().get(service);
+    if (group == null || group.engine() == null) {
+      return false;
+    }
     List<BackendServer> servers =
         state.available(service).stream().filter(s -> s.failureDomain().equals(domain)).toList();
     FleetLoad fleet = FleetLoad.of(loads, peers, servers, state.entries());
     long overdueMs = 0;
     long quietMs = Long.MAX_VALUE;
     for (BackendServer s : servers) {
-      Load load = fleet.loadAt(s);
-      double expectedMs = profiles.of(s).firstTokenMs(0, load.prefillTokens(), load.inFlight());
+      double expectedMs =
+          profiles.of(s).firstTokenOverheadMs()
+              + promptQueueMs(s, fleet.loadAt(s), group.engine(), promptTokens);
       long waitingMs = loads.of(s).waitingMs();
       if (waitingMs > expectedMs + STALL_SLACK_MS) {
         overdueMs = Math.max(overdueMs, waitingMs);
