Shorten long request ids in the lines of exchanges and attempts

Cause: a caller may send an id of 16 KiB, which each line of its request repeated; only the lines of refusals before an exchange were bounded.

Change: the lines of exchanges and attempts have the first 128 characters of an id. RunFailover, RequestCrashTracker and WaitingPrompts still log it whole.

--- a/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/AttemptLog.java
+++ b/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/AttemptLog.java
@@ -28,7 +28,7 @@
     LOG.info(
         "first token: request={} server={} tookMs={} expectedMs={} unread={} engineUnread={}"
             + " engineResident={} engineRunning={} held={} fetched={}",
-        exchange.request().id(),
+        exchange.request().loggedId(),
         server.id(),
         tookMs,
         Math.round(plan.estimateMs()),
@@ -49,7 +49,7 @@
       long bytes) {
     LOG.info(
         "answer passed on: request={} server={} status={} bytes={} framing={} tookMs={} tries={}",
-        exchange.request().id(),
+        exchange.request().loggedId(),
         server.id(),
         h == null ? 0 : h.status(),
         bytes,
--- a/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/RelayAttempt.java
+++ b/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/RelayAttempt.java
@@ -200,7 +200,7 @@
       var unused = r.abort(new IllegalStateException(reason));
     } catch (RuntimeException e) {
       // Jetty may throw for a request that is just being sent; the caller must still be answered.
-      LOG.warn("abort failed: request={} reason={}", exchange.request().id(), e.toString());
+      LOG.warn("abort failed: request={} reason={}", exchange.request().loggedId(), e.toString());
     }
   }
 
--- a/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/RelayExchange.java
+++ b/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/RelayExchange.java
@@ -277,7 +277,7 @@
     LOG.info(
         "attempt ended: request={} server={} end={} reason={} tries={} elapsedMs={} leftMs={}"
             + " next={}",
-        request.id(),
+        request.loggedId(),
         a.server().id(),
         end,
         reason,
@@ -365,7 +365,7 @@
     RelayAttempt a = e.attempt();
     LOG.info(
         "caller left: request={} server={} received={} elapsedMs={}",
-        request.id(),
+        request.loggedId(),
         a == null ? "" : a.server().id(),
         a == null ? "none" : a.progress(),
         elapsedMs());
@@ -396,7 +396,7 @@
     RelayAttempt a = e.attempt();
     LOG.info(
         "answer cut: request={} server={} reason={} received={} elapsedMs={}",
-        request.id(),
+        request.loggedId(),
         a == null ? "" : a.server().id(),
         reason,
         a == null ? "" : a.progress(),
@@ -410,7 +410,7 @@
     LOG.info(
         "own answer: request={} route={} service={} server={} kind={} reason={} tries={}"
             + " elapsedMs={}",
-        request.id(),
+        request.loggedId(),
         admitted.route().name(),
         service,
         a == null ? "" : a.server().id(),
