Bound what the callers of the product's daemon may hold

Cause: cowslipyoked had no bounds on the memory and the connections of its callers. 80 bodies of 1 MiB one byte short of their end, 80 unread responses or 250 heads of short headers ended a process with 48 MB of heap; 600 silent connections used up 410 descriptors.

Change: CallerBudget applies the memory budget and the bound on connections of the relay to the daemon's HTTP port. Bodies are acquired before they are read, waiting parts of responses and the text of a model's response as they come. The loss of a caller is handled before the events that wait, because the text of a cancelled run was collected to its end otherwise.

The fake of the crowd tests computed the text of each long response anew and so exhausted the heap by itself; it now does so once. Crowds and bounds are as they were.

--- a/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/entry/ChatResponseWriter.java
+++ b/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/entry/ChatResponseWriter.java
@@ -21,6 +21,15 @@
 
   private static final ObjectMapper JSON = new ObjectMapper();
 
+  /**
+   * Heap of the text that is collected from the server, by the size of the text: its pieces, and
+   * the array of its bytes, which is doubled as it grows.
+   */
+  private static final int COLLECTED_FACTOR = 3;
+
+  /** Heap of a response that is written at once: the joined text, its JSON and the bytes of it. */
+  private static final int COMPLETE_FACTOR = 4;
+
   private final ResponseWriter writer;
   private final String requestId;
   private final String model;
@@ -69,7 +78,9 @@
 
   @Override
   public void relay(long offset, List<String> pieces) {
-    if (stream) {
+    long characters = pieces.stream().mapToLong(String::length).sum();
+    int factor = COLLECTED_FACTOR + (stream ? 0 : COMPLETE_FACTOR);
+    if (writer.reserve(factor * characters) && stream) {
       event(offset + pieces.size(), delta(String.join("", pieces), null));
     }
   }
--- a/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/entry/EntryHandler.java
+++ b/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/entry/EntryHandler.java
@@ -133,7 +133,7 @@
     try (var unused = CloseableThreadContext.put("requestId", exchange.requestId())) {
       LOG.info("request refused, kind={}", failure.kind().wireName());
     }
-    if (failure.kind() == ErrorKind.TOO_LARGE) {
+    if (failure.kind() == ErrorKind.TOO_LARGE || failure.kind() == ErrorKind.OVERLOADED) {
       exchange.response().getHeaders().put(HttpHeader.CONNECTION, "close");
     }
     new ResponseWriter(exchange.response(), exchange.callback(), () -> {})
--- a/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/entry/RequestDriver.java
+++ b/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/entry/RequestDriver.java
@@ -41,6 +41,8 @@
   private @Nullable Claim claim;
   private String kind = "ok";
   private boolean firstTokenSeen;
+  private volatile boolean callerGone;
+  private boolean callerGoneHandled;
   private boolean ended;
   private int pendingClaimWrites;
 
@@ -70,8 +72,10 @@
     postEvent(run::start);
   }
 
+  /** Handles the loss of the caller before the events that wait, such as those of its response. */
   void onCallerGone() {
-    postEvent(run::onCallerGone);
+    callerGone = true;
+    postEvent(List::of);
   }
 
   @SuppressWarnings("try") // The log context is only closed.
@@ -79,6 +83,10 @@
     events.execute(
         () -> {
           try (var unused = logContext()) {
+            if (callerGone && !callerGoneHandled) {
+              callerGoneHandled = true;
+              run.onCallerGone().forEach(this::perform);
+            }
             step.get().forEach(this::perform);
             if (run.isDone()) {
               end();
--- a/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/entry/ResponseWriter.java
+++ b/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/entry/ResponseWriter.java
@@ -6,7 +6,9 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.Deque;
+import org.cowslipyoke.daemon.relay.CallerBudget;
 import org.cowslipyoke.errors.Failure;
+import org.cowslipyoke.relay.CallerMemory;
 import org.eclipse.jetty.http.HttpField;
 import org.eclipse.jetty.http.HttpHeader;
 import org.eclipse.jetty.server.Response;
@@ -21,11 +23,18 @@
   /** Limit of bytes queued for a slow caller; the response fails when it is exceeded. */
   static final int MAX_QUEUED_BYTES = 1 << 20;
 
-  private record Part(byte[] bytes, boolean last) {}
+  /**
+   * Size of a part that is written even if the memory is used up, in bytes; those of streams and
+   * errors have less.
+   */
+  private static final int UNLIMITED_BYTES = 4 << 10;
+
+  private record Part(byte[] bytes, boolean last, boolean charged) {}
 
   private final Response response;
   private final Callback completion;
   private final Runnable onCallerGone;
+  private final CallerMemory.Holding memory;
   private final Deque<Part> queue = new ArrayDeque<>();
   private int queuedBytes;
   private boolean writing;
@@ -41,20 +50,33 @@
     this.response = response;
     this.completion = completion;
     this.onCallerGone = onCallerGone;
+    this.memory = CallerBudget.holding(response.getRequest());
   }
 
   Response response() {
     return response;
   }
 
+  /**
+   * Acquires memory for text that is kept until the response ends. The response fails if there is
+   * none.
+   */
+  boolean reserve(long bytes) {
+    if (memory.tryAcquire(bytes)) {
+      return true;
+    }
+    fail(new IllegalStateException("the memory for responses is used up"));
+    return false;
+  }
+
   /** Queues a part of the body. */
   void write(byte[] bytes) {
-    enqueue(new Part(bytes, false));
+    enqueue(bytes, false);
   }
 
   /** Queues the last part of the body; completes the exchange once it is written. */
   void end(byte[] bytes) {
-    enqueue(new Part(bytes, true));
+    enqueue(bytes, true);
   }
 
   /** Writes an error as the complete response; call only before any part of the body. */
@@ -80,16 +102,19 @@
     return root;
   }
 
-  private void enqueue(Part part) {
+  /** Queues a part; memory is acquired without the lock, as that may evict other requests. */
+  private void enqueue(byte[] bytes, boolean last) {
+    boolean charged = memory.tryAcquire(bytes.length);
     boolean overflow;
     synchronized (queue) {
       if (failed || ended) {
         return;
       }
-      ended = part.last();
-      queuedBytes += part.bytes().length;
+      ended = last;
+      queuedBytes += bytes.length;
       overflow = queuedBytes > MAX_QUEUED_BYTES && writing;
-      queue.add(part);
+      overflow |= !charged && (writing || bytes.length > UNLIMITED_BYTES);
+      queue.add(new Part(bytes, last, charged));
       if (writing && !overflow) {
         return;
       }
@@ -113,17 +138,22 @@
       queuedBytes -= part.bytes().length;
       writing = true;
     }
+    memory.watch(r -> fail(new IllegalStateException("the caller does not read: " + r)));
     response.write(
         part.last(),
         ByteBuffer.wrap(part.bytes()),
-        Callback.from(() -> onWritten(part.last()), this::fail));
+        Callback.from(() -> onWritten(part), this::fail));
   }
 
-  private void onWritten(boolean last) {
+  private void onWritten(Part part) {
+    memory.unwatch();
+    if (part.charged()) {
+      memory.release(part.bytes().length);
+    }
     synchronized (queue) {
       writing = false;
     }
-    if (last) {
+    if (part.last()) {
       completion.succeeded();
     } else {
       writeNext();
--- a/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/runtime/DaemonRuntime.java
+++ b/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/runtime/DaemonRuntime.java
@@ -1,8 +1,10 @@
 package org.cowslipyoke.daemon.runtime;
 
+import com.sun.management.UnixOperatingSystemMXBean;
 import io.micrometer.prometheusmetrics.PrometheusConfig;
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
 import io.vavr.control.Either;
+import java.lang.management.ManagementFactory;
 import java.util.List;
 import java.util.Random;
 import java.util.concurrent.Future;
@@ -15,6 +17,8 @@
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.cowslipyoke.config.ConfigurationHolder;
+import org.cowslipyoke.daemon.relay.CallerBudget;
+import org.cowslipyoke.daemon.relay.CallerLimits;
 import org.cowslipyoke.errors.ErrorKind;
 import org.cowslipyoke.errors.Failure;
 import org.cowslipyoke.lease.PauseDetector;
@@ -25,7 +29,6 @@
 import org.cowslipyoke.util.Clock;
 import org.eclipse.jetty.server.Handler;
 import org.eclipse.jetty.server.HttpConfiguration;
-import org.eclipse.jetty.server.HttpConnectionFactory;
 import org.eclipse.jetty.server.Server;
 import org.eclipse.jetty.server.ServerConnector;
 import org.eclipse.jetty.util.thread.QueuedThreadPool;
@@ -66,6 +69,7 @@
   private final FrameNode node;
   private final Role role;
   private final Readiness readiness;
+  private final CallerBudget callers;
   private final Server server;
   private final ServerConnector connector;
   private @Nullable Future<?> ticks;
@@ -89,6 +93,7 @@
     this.role = roles.apply(context());
     this.readiness = new Readiness(settings, configuration, suspects, pauses, role);
     this.server = new Server(new QueuedThreadPool(HTTP_THREADS));
+    this.callers = new CallerBudget(clock, CallerLimits.ofProcess(0, maxDescriptors()), meters);
     this.connector = newConnector();
     this.metrics = new DaemonMetrics(meters);
     metrics.bindState(configuration, suspects, pauses, readiness);
@@ -109,6 +114,7 @@
                   scheduler.scheduleWithFixedDelay(
                       tick, 0, PauseDetector.TICK_MS, TimeUnit.MILLISECONDS);
               role.start();
+              callers.start(scheduler);
               dispatcher.setRole(role);
               return startHttp().map(httpPort -> new Ports(httpPort, framePort));
             });
@@ -185,16 +191,24 @@
   private ServerConnector newConnector() {
     HttpConfiguration http = new HttpConfiguration();
     http.setSendServerVersion(false);
-    ServerConnector c = new ServerConnector(server, new HttpConnectionFactory(http));
+    ServerConnector c = callers.connector(server, http);
     c.setHost(settings.listen().host());
     c.setPort(settings.listen().httpPort());
     server.addConnector(c);
     server.setHandler(
-        new Handler.Sequence(new StatusHandler(readiness, meters), role.httpHandler()));
+        callers.wrap(
+            new Handler.Sequence(new StatusHandler(readiness, meters), role.httpHandler())));
     server.setStopTimeout(HTTP_STOP_TIMEOUT_MS);
     return c;
   }
 
+  /** Returns the maximum number of open descriptors, 0 if it is not known. */
+  private static int maxDescriptors() {
+    return ManagementFactory.getOperatingSystemMXBean() instanceof UnixOperatingSystemMXBean u
+        ? (int) Math.min(u.getMaxFileDescriptorCount(), Integer.MAX_VALUE)
+        : 0;
+  }
+
   private DocumentExchange newExchange() {
     Random random = new Random();
     PeerDirectory peers = new PeerDirectory(settings.vm(), platform.vms(), clock, random);
--- a/org.cowslipyoke.test/src/test/java/org/cowslipyoke/daemon/entry/CrowdDaemon.java
+++ b/org.cowslipyoke.test/src/test/java/org/cowslipyoke/daemon/entry/CrowdDaemon.java
@@ -34,6 +34,12 @@
 
   static final String LONG_MODEL = "long";
 
+  private static final String TOKEN = "t".repeat(4 << 10);
+
+  /** Computed once, because the heap is small. */
+  private static final long LONG_CRC =
+      Digests.crc32c(TOKEN.repeat(LONG_TOKENS).getBytes(StandardCharsets.UTF_8));
+
   private CrowdDaemon() {}
 
   /** Starts the daemon on the given port and runs until the process is ended. */
@@ -87,13 +93,11 @@
     if (!start.toString().contains(LONG_MODEL)) {
       return FakeServers.completion(id);
     }
-    String token = "t".repeat(4 << 10);
     List<Message> all = new ArrayList<>(List.of(new Message.Started("v1", 4, 1)));
     for (int i = 0; i < LONG_TOKENS; i++) {
-      all.add(new Message.Tokens(id, i, List.of(token)));
+      all.add(new Message.Tokens(id, i, List.of(TOKEN)));
     }
-    byte[] text = token.repeat(LONG_TOKENS).getBytes(StandardCharsets.UTF_8);
-    all.add(new Message.End(id, LONG_TOKENS, Digests.crc32c(text), "stop"));
+    all.add(new Message.End(id, LONG_TOKENS, LONG_CRC, "stop"));
     return all;
   }
 
