Let settings of the daemon limit its callers

Cause: the limits of cowslipyoked for callers followed from heap and descriptors alone.

Change: callers.memoryBytes, callers.maxConnections and callers.maxConnectionsPerAddress override them; the last is not limited by default, because all callers may come from one proxy.

Result: SettingsFileTest passes.

--- a/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/CallerLimits.java
+++ b/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/CallerLimits.java
@@ -42,20 +42,21 @@
       long left = Math.max(0, maxDescriptors - RESERVED_DESCRIPTORS);
       connections = Math.min(connections, Math.max(16, Math.round(left * DESCRIPTOR_FRACTION)));
     }
-    return of(bytes, (int) Math.min(connections, Integer.MAX_VALUE), 0);
+    int total = (int) Math.min(connections, Integer.MAX_VALUE);
+    return new CallerLimits(bytes, ConnectionSlots.Bounds.of(total));
   }
 
   /**
-   * Returns limits.
+   * Returns these limits with other values where they are above 0.
    *
-   * @param perAddress open connections of one remote address; 0 if they are not limited, because
-   *     all callers may come from one proxy
+   * @param perAddress open connections of one remote address; not limited by default, because all
+   *     callers may come from one proxy
    */
-  public static CallerLimits of(long memoryBytes, int connections, int perAddress) {
-    ConnectionSlots.Bounds b =
-        perAddress > 0
-            ? new ConnectionSlots.Bounds(connections, perAddress)
-            : ConnectionSlots.Bounds.of(connections);
-    return new CallerLimits(memoryBytes, b);
+  public CallerLimits with(long bytes, int total, int perAddress) {
+    return new CallerLimits(
+        bytes > 0 ? bytes : memoryBytes,
+        new ConnectionSlots.Bounds(
+            total > 0 ? total : connections.total(),
+            perAddress > 0 ? perAddress : connections.perAddress()));
   }
 }
--- a/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/runtime/DaemonRuntime.java
+++ b/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/runtime/DaemonRuntime.java
@@ -93,7 +93,7 @@
     this.role = roles.apply(context());
     this.readiness = new Readiness(settings, configuration, suspects, pauses, role);
     this.server = new Server(new QueuedThreadPool(HTTP_THREADS));
-    this.callers = new CallerBudget(clock, CallerLimits.ofProcess(0, maxDescriptors()), meters);
+    this.callers = new CallerBudget(clock, limits(settings.callers()), meters);
     this.connector = newConnector();
     this.metrics = new DaemonMetrics(meters);
     metrics.bindState(configuration, suspects, pauses, readiness);
@@ -202,6 +202,11 @@
     return c;
   }
 
+  private static CallerLimits limits(Settings.Callers c) {
+    return CallerLimits.ofProcess(0, maxDescriptors())
+        .with(c.memoryBytes(), c.maxConnections(), c.maxConnectionsPerAddress());
+  }
+
   /** Returns the maximum number of open descriptors, 0 if it is not known. */
   private static int maxDescriptors() {
     return ManagementFactory.getOperatingSystemMXBean() instanceof UnixOperatingSystemMXBean u
--- a/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/runtime/SettingsFile.java
+++ b/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/runtime/SettingsFile.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import org.cowslipyoke.config.JsonSchemaValidator;
 import org.cowslipyoke.daemon.runtime.Settings.Backend;
+import org.cowslipyoke.daemon.runtime.Settings.Callers;
 import org.cowslipyoke.daemon.runtime.Settings.Listen;
 import org.cowslipyoke.daemon.runtime.Settings.Platform;
 import org.cowslipyoke.errors.ErrorKind;
@@ -89,7 +90,15 @@
         backend(n.path("backend")),
         n.path("policy").asText(DaemonText.POLICY_DEFAULT),
         n.path("drainDelayMs").asLong(DEFAULT_DRAIN_DELAY_MS),
-        n.path("drainTimeoutMs").asLong(DEFAULT_DRAIN_TIMEOUT_MS));
+        n.path("drainTimeoutMs").asLong(DEFAULT_DRAIN_TIMEOUT_MS),
+        callers(n.path("callers")));
+  }
+
+  private static Callers callers(JsonNode n) {
+    return new Callers(
+        n.path("memoryBytes").asLong(),
+        n.path("maxConnections").asInt(),
+        n.path("maxConnectionsPerAddress").asInt());
   }
 
   private static @Nullable Backend backend(JsonNode n) {
--- a/org.cowslipyoke.test/src/test/java/org/cowslipyoke/daemon/runtime/SettingsFileTest.java
+++ b/org.cowslipyoke.test/src/test/java/org/cowslipyoke/daemon/runtime/SettingsFileTest.java
@@ -33,6 +33,10 @@
     assertEquals("cost", entry.policy());
     assertEquals(2_000, entry.drainDelayMs());
     assertNull(entry.backend());
+    assertEquals(new Settings.Callers(0, 0, 0), entry.callers());
+    String callers = "\"callers\": {\"memoryBytes\": 9, \"maxConnectionsPerAddress\": 7}, \"vm\"";
+    Settings limited = SettingsFile.parse(ENTRY.replace("\"vm\"", callers)).get();
+    assertEquals(new Settings.Callers(9, 0, 7), limited.callers());
     Settings server = SettingsFile.parse(server(BACKEND)).get();
     assertEquals("http://127.0.0.1:7101", backend(server).engine());
     assertNull(backend(server).service());
