--- a/org.cowslipyoke.test/src/test/java/org/cowslipyoke/transport/CacheEventCodecTest.java
+++ b/org.cowslipyoke.test/src/test/java/org/cowslipyoke/transport/CacheEventCodecTest.java
@@ -15,7 +15,7 @@
 
 class CacheEventCodecTest {
 
-  private static final CacheEventBatch BATCH =
+  static final CacheEventBatch BATCH =
       new CacheEventBatch(
           "10.0.0.1:80",
           77_120,
--- a/org.cowslipyoke.test/src/test/java/org/cowslipyoke/transport/LoadReportCodecTest.java
+++ b/org.cowslipyoke.test/src/test/java/org/cowslipyoke/transport/LoadReportCodecTest.java
@@ -20,8 +20,7 @@
 
 class LoadReportCodecTest {
 
-  private static final Report REPORT =
-      new Report("e1", 5, 7, Map.of("s1@1", new Load(3, 9_000, 40_000)));
+  static final Report REPORT = new Report("e1", 5, 7, Map.of("s1@1", new Load(3, 9_000, 40_000)));
 
   @Test
   void reportsSurviveTheirDatagram() throws Exception {
--- a/org.cowslipyoke.test/src/test/java/org/cowslipyoke/transport/PartReportCodecTest.java
+++ b/org.cowslipyoke.test/src/test/java/org/cowslipyoke/transport/PartReportCodecTest.java
@@ -21,7 +21,7 @@
 
 class PartReportCodecTest {
 
-  private static final PartReport REPORT =
+  static final PartReport REPORT =
       new PartReport(
           Map.of("s1@1", List.of(new CrashedRun(-7, 40, 3), new CrashedRun(9, 0, 0))),
           Map.of(Long.MIN_VALUE, 0L, 5L, 70L));
--- a/org.cowslipyoke.test/src/test/java/org/cowslipyoke/transport/ProfileDigestCodecTest.java
+++ b/org.cowslipyoke.test/src/test/java/org/cowslipyoke/transport/ProfileDigestCodecTest.java
@@ -17,7 +17,7 @@
 
 class ProfileDigestCodecTest {
 
-  private static ProfileDigest digest(int servers) {
+  static ProfileDigest digest(int servers) {
     LearnedModel model =
         new LearnedModel(List.of(1.5, 0.25, 1.0, 0.5, 2.0), 120, List.of(1.0, 0.5, 0.0), 300);
     return new ProfileDigest(
--- a/org.cowslipyoke.test/src/test/java/org/cowslipyoke/transport/RolloutReportCodecTest.java
+++ b/org.cowslipyoke.test/src/test/java/org/cowslipyoke/transport/RolloutReportCodecTest.java
@@ -18,7 +18,7 @@
 
 class RolloutReportCodecTest {
 
-  private static RolloutReport report(int series) {
+  static RolloutReport report(int series) {
     Map<Series, Tally> tallies = new HashMap<>();
     for (int i = 0; i < series; i++) {
       long[] times = new long[Tally.BUCKETS];
--- a/org.cowslipyoke.test/src/test/java/org/cowslipyoke/transport/SuspectReportCodecTest.java
+++ b/org.cowslipyoke.test/src/test/java/org/cowslipyoke/transport/SuspectReportCodecTest.java
@@ -19,7 +19,7 @@
 
 class SuspectReportCodecTest {
 
-  private static final SuspectReport REPORT =
+  static final SuspectReport REPORT =
       new SuspectReport(
           Map.of("s1@1", List.of(new CrashedRun(-7, 40, 3), new CrashedRun(9, 0, 0))),
           List.of(Long.MIN_VALUE, 5L),
--- a/org.cowslipyoke.test/src/test/java/org/cowslipyoke/transport/TableConfirmationCodecTest.java
+++ b/org.cowslipyoke.test/src/test/java/org/cowslipyoke/transport/TableConfirmationCodecTest.java
@@ -14,8 +14,7 @@
 
 class TableConfirmationCodecTest {
 
-  private static final Message MESSAGE =
-      new Message("e1", new TableConfirmation("servers", -7, 12_345));
+  static final Message MESSAGE = new Message("e1", new TableConfirmation("servers", -7, 12_345));
 
   @Test
   void messagesAreDecodedAsEncoded() throws Exception {
