Test that a body that gives way at the daemon is refused as not run

Cause: the crowd tests do not look at what callers get whose bodies give way.

Change: EntryFixture has a budget of four bodies; the test fills it with incomplete ones and sends a small request.

--- a/org.cowslipyoke.test/src/test/java/org/cowslipyoke/daemon/entry/EntryFixture.java
+++ b/org.cowslipyoke.test/src/test/java/org/cowslipyoke/daemon/entry/EntryFixture.java
@@ -25,6 +25,8 @@
 import org.cowslipyoke.config.Configuration.Places;
 import org.cowslipyoke.config.Configuration.Service;
 import org.cowslipyoke.config.ConfigurationHolder;
+import org.cowslipyoke.daemon.relay.CallerBudget;
+import org.cowslipyoke.daemon.relay.CallerLimits;
 import org.cowslipyoke.daemon.runtime.DaemonContext;
 import org.cowslipyoke.daemon.runtime.Settings;
 import org.cowslipyoke.errors.ErrorKind;
@@ -38,8 +40,10 @@
 import org.cowslipyoke.platform.VmList.State;
 import org.cowslipyoke.platform.VmList.Vm;
 import org.cowslipyoke.platform.WeightStore;
+import org.cowslipyoke.relay.ConnectionSlots;
 import org.cowslipyoke.suspect.SuspectList;
 import org.cowslipyoke.util.Digests;
+import org.eclipse.jetty.server.HttpConfiguration;
 import org.eclipse.jetty.server.Server;
 import org.eclipse.jetty.server.ServerConnector;
 
@@ -48,6 +52,12 @@
 
   static final long BODY_TIMEOUT_MS = 300;
   private static final long TICK_MS = 10;
+
+  /** Memory for callers; four bodies of the maximum size. */
+  static final int CALLER_BYTES = 4 << 16;
+
+  private static final int MAX_CONNECTIONS = 64;
+
   static final String BODY =
       "{\"model\":\"m\",\"messages\":[{\"role\":\"user\",\"content\":\"hi\"}]}";
 
@@ -62,16 +72,26 @@
   private final ScheduledFuture<?> ticks;
   private final ExecutorService workers = Executors.newFixedThreadPool(4);
   private final Server server = new Server();
-  private final ServerConnector connector = new ServerConnector(server, 1, 1);
+  private final CallerBudget callers =
+      new CallerBudget(
+          clock,
+          new CallerLimits(CALLER_BYTES, ConnectionSlots.Bounds.of(MAX_CONNECTIONS)),
+          meters);
+  private final ServerConnector connector = callers.connector(server, new HttpConfiguration());
   private final HttpClient client =
       HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
 
   EntryFixture() throws Exception {
+    this(BODY_TIMEOUT_MS);
+  }
+
+  /** Starts an entry with another time limit for bodies, in milliseconds. */
+  EntryFixture(long bodyTimeoutMs) throws Exception {
     configuration.offer(configuration());
-    role = new EntryRole(context(), BODY_TIMEOUT_MS);
+    role = new EntryRole(context(), bodyTimeoutMs);
     ticks = scheduler.scheduleAtFixedRate(this::tick, 0, TICK_MS, TimeUnit.MILLISECONDS);
     server.addConnector(connector);
-    server.setHandler(role.httpHandler());
+    server.setHandler(callers.wrap(role.httpHandler()));
     server.start();
     role.start();
     await(role::isReady);
--- a/org.cowslipyoke.test/src/test/java/org/cowslipyoke/daemon/entry/EntryHttpTest.java
+++ b/org.cowslipyoke.test/src/test/java/org/cowslipyoke/daemon/entry/EntryHttpTest.java
@@ -6,11 +6,14 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.net.InetAddress;
 import java.net.Socket;
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
 import java.util.List;
 import org.cowslipyoke.errors.ErrorKind;
 import org.cowslipyoke.errors.Outcome;
@@ -106,6 +109,43 @@
     assertEquals(0, entry.servers.received.size());
   }
 
+  /** Guards against bodies that keep out small requests, and against refusing them as if run. */
+  @Test
+  void bodyThatGivesWayIsRefusedAsNotRun() throws Exception {
+    entry.close();
+    entry = new EntryFixture(60_000);
+    List<Socket> all = new ArrayList<>();
+    for (int i = 0; i < EntryFixture.CALLER_BYTES >> 16; i++) {
+      Socket s = new Socket(InetAddress.getLoopbackAddress(), entry.port());
+      s.setSoTimeout(20_000);
+      s.getOutputStream().write((requestHead(1 << 16) + "{").getBytes(StandardCharsets.UTF_8));
+      all.add(s);
+    }
+    EntryFixture.await(
+        () ->
+            entry.meters.get("cowslipyoke_caller_memory_used").gauge().value()
+                == EntryFixture.CALLER_BYTES);
+    assertEquals(200, entry.chat("beta", BODY).statusCode());
+    EntryFixture.await(() -> all.stream().anyMatch(EntryHttpTest::isAnswered));
+    List<Socket> refused = all.stream().filter(EntryHttpTest::isAnswered).toList();
+    assertEquals(1, refused.size());
+    byte[] answer = refused.get(0).getInputStream().readAllBytes();
+    String text = new String(answer, StandardCharsets.UTF_8);
+    assertTrue(text.startsWith("HTTP/1.1 503") && text.contains("not_run"), text);
+    assertTrue(text.contains("Retry-After: 1\r\n"), text);
+    for (Socket s : all) {
+      s.close();
+    }
+  }
+
+  private static boolean isAnswered(Socket s) {
+    try {
+      return s.getInputStream().available() > 0;
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    }
+  }
+
   @Test
   void refusesUnknownKeyModelPathAndHeader() throws Exception {
     assertTrue(hasError(entry.chat("nobody", BODY), ErrorKind.UNAUTHENTICATED));
