--- a/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/FinalResponse.java
+++ b/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/FinalResponse.java
@@ -48,7 +48,7 @@
     RelayAttempt a = e.attempt();
     LOG.info(
         "caller left: request={} server={} received={} elapsedMs={}",
-        exchange.request().id(),
+        exchange.request().loggedId(),
         e.server(),
         a == null ? "none" : a.progress(),
         exchange.elapsedMs());
@@ -60,7 +60,7 @@
     RelayAttempt a = e.attempt();
     LOG.info(
         "answer cut: request={} server={} reason={} received={} elapsedMs={}",
-        exchange.request().id(),
+        exchange.request().loggedId(),
         e.server(),
         reason,
         a == null ? "" : a.progress(),
@@ -74,7 +74,7 @@
     LOG.info(
         "own answer: request={} route={} service={} server={} kind={} reason={} tries={}"
             + " elapsedMs={}",
-        exchange.request().id(),
+        exchange.request().loggedId(),
         exchange.route().name(),
         exchange.service(),
         e.server(),
--- a/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/RelayExchange.java
+++ b/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/RelayExchange.java
@@ -279,7 +279,7 @@
     LOG.info(
         "attempt ended: request={} server={} end={} reason={} tries={} elapsedMs={} leftMs={}"
             + " next={}",
-        request.id(),
+        request.loggedId(),
         a.server().id(),
         end,
         reason,
