Read the load of a server only when a stream has paused

Cause: PauseMetrics read the load of the server for each event of each stream, on the path of all responses, only to log it at the rare pauses.

Change: the time of the last content is kept alone; the line has the load at the end of the pause.

--- a/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/PauseMetrics.java
+++ b/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/PauseMetrics.java
@@ -18,12 +18,11 @@
 
   private static final Logger LOG = LogManager.getLogger(PauseMetrics.class);
 
-  /** Last content of a running stream. */
-  private record LastContent(long atMs, Load load) {}
-
   private final MeterRegistry meters;
   private final Function<BackendServer, Load> loads;
-  private final IdentityHashMap<Attempt, LastContent> streams = new IdentityHashMap<>();
+
+  /** Time of the last content of the running streams, in monotonic milliseconds. */
+  private final IdentityHashMap<Attempt, Long> lastContentMs = new IdentityHashMap<>();
 
   /**
    * Creates metrics.
@@ -40,38 +39,36 @@
     if (a.plan() == null || a.route().gapMs() <= 0) {
       return;
     }
-    Load load = loads.apply(a.server());
-    LastContent last;
+    Long lastMs;
     synchronized (this) {
-      last = streams.put(a, new LastContent(nowMs, load));
+      lastMs = lastContentMs.put(a, nowMs);
     }
-    if (last != null && nowMs - last.atMs() > a.route().gapMs()) {
-      recordPause(a, nowMs - last.atMs(), last.load(), load);
+    if (lastMs != null && nowMs - lastMs > a.route().gapMs()) {
+      recordPause(a, nowMs - lastMs);
     }
   }
 
   @Override
   public synchronized void ended(Attempt a, Ended e) {
-    streams.remove(a);
+    lastContentMs.remove(a);
   }
 
-  private void recordPause(Attempt a, long pauseMs, Load before, Load after) {
+  private void recordPause(Attempt a, long pauseMs) {
     Counter.builder("cowslipyoke_relay_long_pauses")
         .tags("service", a.service(), "route", a.route().name())
         .register(meters)
         .increment();
+    Load load = loads.apply(a.server());
     LOG.info(
-        "pause in stream: request={} server={} route={} pauseMs={} targetMs={} prefillBefore={}"
-            + " prefillAfter={} residentBefore={} residentAfter={} running={}",
+        "pause in stream: request={} server={} route={} pauseMs={} targetMs={} prefill={}"
+            + " resident={} running={}",
         a.requestId(),
         a.server().id(),
         a.route().name(),
         pauseMs,
         a.route().gapMs(),
-        before.prefillTokens(),
-        after.prefillTokens(),
-        before.residentTokens(),
-        after.residentTokens(),
-        after.inFlight());
+        load.prefillTokens(),
+        load.residentTokens(),
+        load.inFlight());
   }
 }
