Log no age for a desired state that was never read

Change: the field is empty then; explain reads both forms.

Result: ExplainCausesTest and ExplainCommandTest pass; the approved text has one more case, a line of an earlier build.

--- a/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/RelayHandler.java
+++ b/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/RelayHandler.java
@@ -182,12 +182,13 @@
 
   private boolean refuse(CallerChannel caller, Failure f, @Nullable RelayRequest r) {
     services.metrics().own(f.kind());
+    long ageMs = services.state().operatorConfigAgeMs();
     LOG.info(
         "refused: request={} kind={} reason={} stateAgeMs={}",
         r == null ? "" : r.loggedId(),
         f.kind(),
         f.message(),
-        services.state().operatorConfigAgeMs());
+        ageMs == Long.MAX_VALUE ? "" : ageMs);
     caller.sendFailure(f, r == null ? null : r.id());
     return true;
   }
--- a/org.cowslipyoke.pgm/src/main/java/org/cowslipyoke/pgm/story/RefusalDiagnosis.java
+++ b/org.cowslipyoke.pgm/src/main/java/org/cowslipyoke/pgm/story/RefusalDiagnosis.java
@@ -5,7 +5,7 @@
 /** Finds why a VM refused a request before choosing a server. */
 final class RefusalDiagnosis {
 
-  /** Age that a line reports for a desired state that was never read. */
+  /** Age of a state that was never read: its lines have none, those of earlier builds this one. */
   private static final long NEVER_READ_MS = Long.MAX_VALUE;
 
   private final RequestTrace trace;
@@ -40,7 +40,7 @@
       return Finding.of(
           Cause.STORE_LOST, submission.vm(), time(lost.get().atMs()), l.field("reason"));
     }
-    long ageMs = end.number("stateAgeMs").orElse(0);
+    long ageMs = end.number("stateAgeMs").orElse(NEVER_READ_MS);
     if (ageMs == NEVER_READ_MS) {
       return trace
           .lastContextLine(f -> isOwn(f) && f.is(Event.STARTED), endMs)
--- a/org.cowslipyoke.test/src/test/java/org/cowslipyoke/pgm/ExplainCausesTest.java
+++ b/org.cowslipyoke.test/src/test/java/org/cowslipyoke/pgm/ExplainCausesTest.java
@@ -36,7 +36,8 @@
       "answer passed on: request=R server=i-1 status=200 bytes=8 tookMs=4 tries=1 framing=";
   private static final String NOT_READY =
       "refused: request=R kind=NOT_READY reason=old stateAgeMs=";
-  private static final String STATE_NEVER_READ = NOT_READY + Long.MAX_VALUE;
+  private static final String STATE_NEVER_READ = NOT_READY;
+  private static final String STATE_NEVER_READ_BEFORE = NOT_READY + Long.MAX_VALUE;
   private static final String OTHER_ANSWER = "answer passed on: request=o server=i-5 status=200";
 
   private final Map<String, String> conclusions = new TreeMap<>();
@@ -145,6 +146,7 @@
     conclude("state old", "9 a " + NOT_READY + "5000");
     conclude("just started", started, "9 a " + STATE_NEVER_READ);
     conclude("just started, start not logged", "9 a " + STATE_NEVER_READ);
+    conclude("just started, line of an earlier build", started, "9 a " + STATE_NEVER_READ_BEFORE);
     String stop = "9 a refused: request=R kind=SHUTTING_DOWN reason=the process stops stateAgeMs=9";
     conclude("stopping", "5 a stopping: running=8", stop);
     conclude("stopping, begin not logged", "5 b stopping: running=8", stop);
