Weight the answers of the old versions by time in a rollout's comparison

RolloutFleetTest passes, RolloutHttpTest, RolloutAgentTest, OrderSenderTest and WeightStatementsTest too; goodVersionIsNotCondemnedByBurst(18) fails on the code before.

--- a/org.cowslipyoke.test/src/test/java/org/cowslipyoke/rollout/RolloutFleetTest.java
+++ b/org.cowslipyoke.test/src/test/java/org/cowslipyoke/rollout/RolloutFleetTest.java
@@ -180,6 +180,17 @@
     assertTrue(f.targetRequests <= f.bound(), f.summary());
   }
 
+  /**
+   * Guards against a good version that is condemned because more of its answers than of the old
+   * versions' fall into a burst.
+   */
+  @ParameterizedTest
+  @CsvSource({"16", "18"})
+  void goodVersionIsNotCondemnedByBurst(long seed) {
+    RolloutFleet f = play(28, Kind.GOOD_BURST, seed, 342);
+    assertSucceeded(f, f.summary());
+  }
+
   /**
    * Guards against a rollout that starts over, moves twice or misses its end when its owner is
    * killed. The next owner has the lease after 2.2 s.
--- a/org.cowslipyoke/src/main/java/org/cowslipyoke/rollout/Evidence.java
+++ b/org.cowslipyoke/src/main/java/org/cowslipyoke/rollout/Evidence.java
@@ -32,6 +32,10 @@
 
   private final Map<Source, Map<Series, Tally>> last = new HashMap<>();
   private final Map<Series, Tally> total = new HashMap<>();
+
+  /** Weighted answers of the old versions by route, in slots that are no longer recent. */
+  private final Map<String, Tally.Weighted> expired = new HashMap<>();
+
   private final Deque<Slot> slots = new ArrayDeque<>();
 
   /** Applies the cumulative counts of an entry; counts that decrease are those of an old report. */
@@ -68,24 +72,59 @@
 
   private void expire(long nowMs) {
     for (Slot s = slots.peekFirst(); s != null && nowMs - s.atMs() > RECENT_MS; ) {
-      slots.removeFirst();
+      weigh(slots.removeFirst().tallies(), expired);
       s = slots.peekFirst();
     }
   }
 
-  /** Returns the answers since the order. */
+  /** Returns the answers since the order, those of the old versions weighted by time. */
   Map<Series, Tally> total() {
-    return total;
+    Map<String, Tally.Weighted> weighted = new HashMap<>();
+    expired.forEach((route, w) -> weighted.put(route, w.copy()));
+    slots.forEach(s -> weigh(s.tallies(), weighted));
+    return withOld(new HashMap<>(total), weighted);
   }
 
-  /** Returns the answers of the last {@link #RECENT_MS}. */
+  /** Returns the answers of the last {@link #RECENT_MS}, weighted in the same way. */
   Map<Series, Tally> recent(long nowMs) {
     expire(nowMs);
     Map<Series, Tally> sum = new HashMap<>();
+    Map<String, Tally.Weighted> weighted = new HashMap<>();
     for (Slot s : slots) {
       s.tallies().forEach((k, t) -> sum.computeIfAbsent(k, x -> new Tally()).add(t, 1));
+      weigh(s.tallies(), weighted);
     }
-    return sum;
+    return withOld(sum, weighted);
+  }
+
+  /**
+   * Adds a slot's answers of the old versions, weighted so that they spread over time as the
+   * target's answers on their route do. The share of the target changes, new servers' times do not
+   * count, and a route may wait for others, so a burst would else be most of the target's answers
+   * but few of the old versions'.
+   */
+  private static void weigh(Map<Series, Tally> slot, Map<String, Tally.Weighted> sums) {
+    Map<String, Tally> targets = new HashMap<>();
+    slot.forEach(
+        (k, t) -> {
+          if (k.isTarget()) {
+            targets.computeIfAbsent(k.route(), r -> new Tally()).add(t, 1);
+          }
+        });
+    targets.forEach(
+        (route, target) -> {
+          Tally old = slot.get(new Series(route, ""));
+          if (old != null) {
+            sums.computeIfAbsent(route, r -> new Tally.Weighted()).add(old, target);
+          }
+        });
+  }
+
+  private static Map<Series, Tally> withOld(
+      Map<Series, Tally> all, Map<String, Tally.Weighted> weighted) {
+    weighted.forEach(
+        (route, w) -> all.computeIfPresent(new Series(route, ""), (k, old) -> w.rounded()));
+    return all;
   }
 
   /** Returns the routes that have answers. */
--- a/org.cowslipyoke/src/main/java/org/cowslipyoke/rollout/Tally.java
+++ b/org.cowslipyoke/src/main/java/org/cowslipyoke/rollout/Tally.java
@@ -1,5 +1,7 @@
 package org.cowslipyoke.rollout;
 
+import java.util.function.IntToLongFunction;
+
 /**
  * Answers of one version on one route: their number, failures, and a histogram of relative times.
  * Mutable and not thread-safe.
@@ -118,4 +120,73 @@
     }
     return b;
   }
+
+  /** Sum of tallies, each weighted by the answers of another one. */
+  static final class Weighted {
+
+    /** Weighted counts, with the sum of the squared weights of all single answers. */
+    private static final class Counts {
+      final double[] sums;
+      double all;
+      double squares;
+
+      Counts(int size) {
+        sums = new double[size];
+      }
+
+      void add(IntToLongFunction count, long own, long other) {
+        if (own <= 0 || other <= 0) {
+          return;
+        }
+        double weight = (double) other / own;
+        for (int i = 0; i < sums.length; i++) {
+          sums[i] += weight * count.applyAsLong(i);
+        }
+        all += other;
+        squares += weight * other;
+      }
+
+      Counts copy() {
+        Counts c = new Counts(sums.length);
+        System.arraycopy(sums, 0, c.sums, 0, sums.length);
+        c.all = all;
+        c.squares = squares;
+        return c;
+      }
+
+      /** Returns the number of unweighted answers that would say as much. */
+      double effective() {
+        return squares > 0 ? all * all / squares : 0;
+      }
+
+      long scaled(int i) {
+        return all > 0 ? Math.round(sums[i] / all * effective()) : 0;
+      }
+    }
+
+    private Counts failed = new Counts(1);
+    private Counts times = new Counts(BUCKETS);
+
+    /** Adds a tally with as many answers, and as many timed ones, as another one has. */
+    void add(Tally t, Tally weight) {
+      failed.add(i -> t.failures, t.answers, weight.answers);
+      times.add(i -> t.times[i], t.timed(), weight.timed());
+    }
+
+    Weighted copy() {
+      Weighted w = new Weighted();
+      w.failed = failed.copy();
+      w.times = times.copy();
+      return w;
+    }
+
+    /** Returns a tally with this sum's fractions, and as many answers as they are worth. */
+    Tally rounded() {
+      long[] scaled = new long[BUCKETS];
+      for (int i = 0; i < BUCKETS; i++) {
+        scaled[i] = times.scaled(i);
+      }
+      return new Tally(Math.round(failed.effective()), failed.scaled(0), scaled);
+    }
+  }
 }
