Share the verdict on a lost engine at once

Change: a verdict is reported at once; with it, one unanswered probe of 25 ms is enough for another entry whose streams are silent too. Silence is suspicious after the usual time between events and two instead of three mean deviations, which costs probes only. Engines whose desired state offers no backups are not probed.

--- a/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/PeerReportExchange.java
+++ b/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/PeerReportExchange.java
@@ -286,7 +286,8 @@
     suspects.parts().nextReport().map(PartReportCodec::encode).ifPresent(this::sendToPeers);
   }
 
-  private void sendToPeers(byte[] bytes) {
+  /** Sends a report that must not wait for the next interval. */
+  public void sendToPeers(byte[] bytes) {
     synchronized (sending) {
       logProblem(sendTo(Kind.SUSPECTS, bytes, peers));
     }
--- a/org.cowslipyoke.test/src/test/java/org/cowslipyoke/failover/EngineLivenessTest.java
+++ b/org.cowslipyoke.test/src/test/java/org/cowslipyoke/failover/EngineLivenessTest.java
@@ -155,6 +155,32 @@
     liveness.peerFoundLost("unknown");
   }
 
+  /** Guards against a second full wait at each entry, after which most continuations are late. */
+  @Test
+  void reportOfAnotherEntryShortensTheVerdict() {
+    Attempt a = stream(A);
+    Attempt b = stream(B);
+    run(300, Set.of(A, B, C), a, b);
+    run(70, Set.of(B, C), a, b);
+    liveness.peerFoundLost(A.incarnation());
+    run(EngineLiveness.LAST_UNANSWERED_MS + 2 * EngineLiveness.TICK_MS, Set.of(B, C), a, b);
+    assertEquals(List.of(A), lost);
+  }
+
+  /** Guards against probes of engines that copy no runs, where a verdict would help nobody. */
+  @Test
+  void enginesWithoutBackupsAreNotProbed() {
+    entry.desire(FailoverFixture.group(false));
+    Attempt a = stream(A);
+    Attempt b = stream(B);
+    run(600, Set.of(B, C), a, b);
+    assertEquals(List.of(), probed);
+    entry.desire(FailoverFixture.group(true));
+    Attempt again = stream(A);
+    run(600, Set.of(B, C), again, b);
+    assertEquals(List.of(A), lost);
+  }
+
   /** Guards against probes without bound while many engines are slow. */
   @Test
   void probesAreLimited() {
--- a/org.cowslipyoke.test/src/test/java/org/cowslipyoke/failover/FailoverFixture.java
+++ b/org.cowslipyoke.test/src/test/java/org/cowslipyoke/failover/FailoverFixture.java
@@ -4,10 +4,13 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
+import java.util.Set;
 import org.cowslipyoke.fake.ManualClock;
 import org.cowslipyoke.relay.AttemptObserver.Attempt;
 import org.cowslipyoke.relay.BackendServer;
 import org.cowslipyoke.relay.CacheDirectory;
+import org.cowslipyoke.relay.CacheIsolation;
+import org.cowslipyoke.relay.DesiredState;
 import org.cowslipyoke.relay.FleetState;
 import org.cowslipyoke.relay.PeerLoads;
 import org.cowslipyoke.relay.Prompt;
@@ -15,6 +18,7 @@
 import org.cowslipyoke.relay.PromptWork;
 import org.cowslipyoke.relay.RequestKind;
 import org.cowslipyoke.relay.Route;
+import org.cowslipyoke.relay.RouteTable;
 import org.cowslipyoke.relay.ServerGroup;
 import org.cowslipyoke.relay.ServerLoads;
 
@@ -48,6 +52,22 @@
     state = state.withServers(byId, clock.nowMs());
   }
 
+  /** Sets what operators want of the group. */
+  void desire(ServerGroup group) {
+    DesiredState d =
+        new DesiredState(
+            1,
+            new RouteTable(List.of(route(false))),
+            Map.of(GROUP, group),
+            List.of(),
+            false,
+            Map.of(),
+            CacheIsolation.NONE,
+            1 << 20,
+            15_000);
+    state = state.withOperatorConfig(d, Set.of(), Map.of(), clock.nowMs(), clock.wallMs());
+  }
+
   BackupPlanner planner(BackupPlanner.Prices prices) {
     return new BackupPlanner(loads, peers, liveness, losses, copies, prices, new Random(SEED));
   }
--- a/org.cowslipyoke/src/main/java/org/cowslipyoke/failover/EngineLiveness.java
+++ b/org.cowslipyoke/src/main/java/org/cowslipyoke/failover/EngineLiveness.java
@@ -11,7 +11,9 @@
 import org.cowslipyoke.relay.BackendServer;
 import org.cowslipyoke.relay.CacheDirectory;
 import org.cowslipyoke.relay.CandidateFilter;
+import org.cowslipyoke.relay.DesiredState;
 import org.cowslipyoke.relay.FleetState;
+import org.cowslipyoke.relay.ServerGroup;
 import org.cowslipyoke.util.Clock;
 
 /**
@@ -91,14 +93,24 @@
 
   @Override
   public synchronized void started(Attempt a) {
-    if (a.plan() != null) {
+    if (isWatched(a)) {
       watch(a.server()).started(a);
     }
   }
 
+  /**
+   * Returns whether a lost engine would matter to an attempt: engines that copy no runs are left to
+   * their event readers, and cost no probes.
+   */
+  private boolean isWatched(Attempt a) {
+    DesiredState d = state.get().desired();
+    ServerGroup g = d == null ? null : d.groups().get(a.service());
+    return a.plan() != null && (g == null || g.engine() == null || g.engine().backups());
+  }
+
   @Override
   public synchronized void contentReceived(Attempt a, long nowMs, boolean first) {
-    if (a.plan() != null) {
+    if (isWatched(a)) {
       watch(a.server()).content(a, nowMs);
     }
   }
@@ -265,10 +277,16 @@
     probes.add(w.server);
   }
 
+  /**
+   * Returns whether an engine has left enough probes unanswered. Those of an entry that has found
+   * it lost count, so one further probe on this entry's own path is enough, if its streams at this
+   * entry are silent too.
+   */
   private boolean isSilent(EngineWatch w, long now) {
+    boolean found = isPeerReported(w, now) && w.isQuiet(now);
     return !w.lost
-        && w.probes >= PROBES
-        && now - w.firstProbeMs >= FIRST_UNANSWERED_MS
+        && w.probes >= (found ? 1 : PROBES)
+        && now - w.firstProbeMs >= (found ? LAST_UNANSWERED_MS : FIRST_UNANSWERED_MS)
         && now - w.lastProbeMs >= LAST_UNANSWERED_MS
         && now - pausedMs >= FIRST_UNANSWERED_MS;
   }
--- a/org.cowslipyoke/src/main/java/org/cowslipyoke/failover/EngineWatch.java
+++ b/org.cowslipyoke/src/main/java/org/cowslipyoke/failover/EngineWatch.java
@@ -14,7 +14,7 @@
   static final double MAX_QUIET_FRACTION = 0.6;
 
   /** Number of mean deviations over the usual time between events that is not suspicious. */
-  static final double PACE_DEVIATIONS = 3;
+  static final double PACE_DEVIATIONS = 2;
 
   /** Pause target assumed for routes without one, in milliseconds. */
   static final long DEFAULT_GAP_MS = 500;
