Take an engine for lost only if another answers a later probe

Change: a control engine is probed with the second probe of a silent one; the verdict needs an answer to a probe that was sent after the first probe of the silent engine.

--- a/org.cowslipyoke.test/src/test/java/org/cowslipyoke/failover/EngineLivenessTest.java
+++ b/org.cowslipyoke.test/src/test/java/org/cowslipyoke/failover/EngineLivenessTest.java
@@ -5,7 +5,9 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import org.cowslipyoke.relay.AttemptObserver.Attempt;
 import org.cowslipyoke.relay.BackendServer;
@@ -167,6 +169,26 @@
     assertEquals(List.of(A), lost);
   }
 
+  /** Guards against verdicts of a process that has just started and reads answers late. */
+  @Test
+  void engineIsNotLostWhileAnswersOfAllAreLate() {
+    Attempt a = stream(A);
+    Attempt b = stream(B);
+    run(300, Set.of(A, B, C), a, b);
+    Map<Long, BackendServer> late = new HashMap<>();
+    for (int t = 1; t <= 60; t++) {
+      run(EngineLiveness.TICK_MS, Set.of(), a);
+      liveness.contentReceived(b, entry.clock.nowMs(), false);
+      probed.forEach(s -> late.put(entry.clock.nowMs() + 150 + late.size(), s));
+      probed.clear();
+      late.keySet().stream()
+          .filter(ms -> ms <= entry.clock.nowMs())
+          .toList()
+          .forEach(ms -> liveness.probeAnswered(late.remove(ms)));
+    }
+    assertEquals(List.of(), lost);
+  }
+
   /** Guards against probes of engines that copy no runs, where a verdict would help nobody. */
   @Test
   void enginesWithoutBackupsAreNotProbed() {
--- a/org.cowslipyoke/src/main/java/org/cowslipyoke/failover/EngineLiveness.java
+++ b/org.cowslipyoke/src/main/java/org/cowslipyoke/failover/EngineLiveness.java
@@ -20,9 +20,10 @@
  * Decides whether an engine has fallen silent, as one that lost power or its network. An engine
  * whose streams to this entry are all silent for longer than the routes' pause targets and its own
  * pace suggest is probed on new connections; it is taken for lost if no probe is answered while
- * other engines are heard. A slow engine answers probes, so its streams are left alone. One with a
- * long queue may take no new connections, but answers the event readers of some entry. Uses no I/O;
- * thread-safe.
+ * another engine answers one that was sent later. A process that has just started, or that gets too
+ * little processor time, is slow with the answers of all. A slow engine answers probes, so its
+ * streams are left alone. One with a long queue may take no new connections, but answers the event
+ * readers of some entry. Uses no I/O; thread-safe.
  */
 public final class EngineLiveness implements AttemptObserver, CandidateFilter {
 
@@ -46,9 +47,6 @@
   /** Time for which the report of another entry counts, in milliseconds. */
   static final long PEER_REPORT_MS = 600;
 
-  /** Time within which another engine must have been heard, in milliseconds. */
-  static final long SOUND_MS = 250;
-
   /** Fraction of a group above which the cause is taken to be this entry or its network. */
   static final double MAX_LOST_FRACTION = 0.5;
 
@@ -82,6 +80,9 @@
   private long tickMs;
   private long pausedMs;
 
+  /** Time at which the last probe of a control engine was sent. */
+  private long controlMs = Long.MIN_VALUE / 2;
+
   /** Creates the decision of an entry. */
   public EngineLiveness(Clock clock, Supplier<FleetState> state, CacheDirectory directory) {
     this.clock = clock;
@@ -191,6 +192,7 @@
     removeListedNoLonger();
     List<BackendServer> probes = new ArrayList<>();
     List<EngineWatch> silent = new ArrayList<>();
+    List<EngineWatch> suspects = new ArrayList<>();
     for (EngineWatch w : engines.values()) {
       hearReader(w, now);
       if (isSilent(w, now)) {
@@ -198,16 +200,20 @@
       }
       if (isProbeDue(w, now)) {
         probe(w, now, probes);
+        if (w.probes == PROBES || isPeerReported(w, now)) {
+          suspects.add(w);
+        }
       }
     }
+    suspects.forEach(w -> probeControl(w, now, probes));
     List<BackendServer> lost = new ArrayList<>();
     for (EngineWatch w : silent) {
-      if (isConnectionSound(w, silent, now)) {
+      if (isConnectionSound(w, silent)) {
         w.lost = true;
         w.lostMs = now;
         lost.add(w.server);
       } else {
-        control(w).ifPresent(c -> probe(c, now, probes));
+        probeControl(w, now, probes);
       }
     }
     return new Actions(probes, lost);
@@ -293,14 +299,27 @@
     return !w.lost && unanswered && now - pausedMs >= FIRST_UNANSWERED_MS;
   }
 
-  private boolean isConnectionSound(EngineWatch w, List<EngineWatch> silent, long now) {
+  private boolean isConnectionSound(EngineWatch w, List<EngineWatch> silent) {
     String group = w.server.group();
     long bad = silent.stream().filter(x -> x.server.group().equals(group)).count();
     bad += engines.values().stream().filter(x -> x.lost && x.server.group().equals(group)).count();
-    boolean heard =
-        engines.values().stream()
-            .anyMatch(x -> !silent.contains(x) && !x.lost && now - x.heardMs <= SOUND_MS);
-    return heard && bad <= Math.max(1, MAX_LOST_FRACTION * state.get().available(group).size());
+    return isControlAnswered(w)
+        && bad <= Math.max(1, MAX_LOST_FRACTION * state.get().available(group).size());
+  }
+
+  /** Returns whether another engine has answered a probe that was sent later. */
+  private boolean isControlAnswered(EngineWatch w) {
+    return engines.values().stream()
+        .anyMatch(x -> x != w && !x.lost && x.answeredProbeMs >= w.firstProbeMs);
+  }
+
+  /** Probes another engine, unless one has answered or a probe is under way. */
+  private void probeControl(EngineWatch w, long now, List<BackendServer> probes) {
+    boolean underWay = controlMs >= w.firstProbeMs && now - controlMs < FIRST_UNANSWERED_MS;
+    if (!underWay && !isControlAnswered(w)) {
+      controlMs = now;
+      control(w).ifPresent(c -> probe(c, now, probes));
+    }
   }
 
   /** Returns another engine whose answer would show that the connection of this entry is sound. */
--- a/org.cowslipyoke/src/main/java/org/cowslipyoke/failover/EngineWatch.java
+++ b/org.cowslipyoke/src/main/java/org/cowslipyoke/failover/EngineWatch.java
@@ -60,6 +60,9 @@
   long firstProbeMs;
   long lastProbeMs;
 
+  /** Time at which the newest probe that was answered was sent; -1 if none was. */
+  long answeredProbeMs = -1;
+
   /** Whether the engine is taken for lost, and since when. */
   boolean lost;
 
@@ -94,6 +97,7 @@
 
   /** Records a sign of life other than content, which shows that the engine is slow now. */
   void probeAnswered(long nowMs) {
+    answeredProbeMs = lastProbeMs;
     if (probes > 0 && !lost && paceMs > 0) {
       recordGap(Math.min(DEFAULT_GAP_MS, nowMs - heardMs));
     }
