Let control probes use the probes kept for silent engines

Change: a control probe counts as one for a silent engine.

Measured: EngineLivenessTest passes; its new test has seven of twenty engines fall silent at once.

--- a/org.cowslipyoke.test/src/test/java/org/cowslipyoke/failover/EngineLivenessTest.java
+++ b/org.cowslipyoke.test/src/test/java/org/cowslipyoke/failover/EngineLivenessTest.java
@@ -189,6 +189,22 @@
     assertEquals(List.of(), lost);
   }
 
+  /** Guards against a verdict that waits for a control probe after many engines were probed. */
+  @Test
+  void manyEnginesAreLostAtOnce() {
+    List<BackendServer> all = new ArrayList<>();
+    for (int i = 0; i < 20; i++) {
+      all.add(FailoverFixture.server("e" + i, "d1"));
+    }
+    entry.list(all.toArray(new BackendServer[0]));
+    entry.state = entry.state.withEntries(8);
+    Attempt[] streams = all.stream().map(this::stream).toArray(Attempt[]::new);
+    run(300, Set.copyOf(all), streams);
+    Set<BackendServer> alive = Set.copyOf(all.subList(7, 20));
+    run(200, alive, streams);
+    assertEquals(Set.copyOf(all.subList(0, 7)), Set.copyOf(lost));
+  }
+
   /** Guards against probes of engines that copy no runs, where a verdict would help nobody. */
   @Test
   void enginesWithoutBackupsAreNotProbed() {
--- a/org.cowslipyoke/src/main/java/org/cowslipyoke/failover/EngineLiveness.java
+++ b/org.cowslipyoke/src/main/java/org/cowslipyoke/failover/EngineLiveness.java
@@ -58,7 +58,10 @@
 
   static final double PROBE_BURST = 24;
 
-  /** Probes kept for engines that have not answered one or that another entry has found lost. */
+  /**
+   * Probes kept for engines that have not answered one or that another entry has found lost, and
+   * for control engines.
+   */
   static final double RESERVED_PROBES = 14;
 
   /** Time after which an engine without attempts is forgotten, in milliseconds. */
@@ -199,7 +202,7 @@
         silent.add(w);
       }
       if (isProbeDue(w, now)) {
-        probe(w, now, probes);
+        probe(w, now, w.probes > 0 || isPeerReported(w, now), probes);
         if (w.probes == PROBES || isPeerReported(w, now)) {
           suspects.add(w);
         }
@@ -269,8 +272,8 @@
     return w.isQuiet(now) || (!w.isIdle() && isPeerReported(w, now));
   }
 
-  private void probe(EngineWatch w, long now, List<BackendServer> probes) {
-    boolean urgent = w.probes > 0 || isPeerReported(w, now);
+  /** Probes an engine, unless its probe is not urgent and the others need what is left. */
+  private void probe(EngineWatch w, long now, boolean urgent, List<BackendServer> probes) {
     if (probeTokens < (urgent ? 1 : 1 + RESERVED_PROBES)) {
       return;
     }
@@ -318,7 +321,7 @@
     boolean underWay = controlMs >= w.firstProbeMs && now - controlMs < FIRST_UNANSWERED_MS;
     if (!underWay && !isControlAnswered(w)) {
       controlMs = now;
-      control(w).ifPresent(c -> probe(c, now, probes));
+      control(w).ifPresent(c -> probe(c, now, true, probes));
     }
   }
 
