--- a/org.cowslipyoke.test/src/test/java/org/cowslipyoke/failover/EngineLivenessTest.java
+++ b/org.cowslipyoke.test/src/test/java/org/cowslipyoke/failover/EngineLivenessTest.java
@@ -5,7 +5,9 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import org.cowslipyoke.relay.AttemptObserver.Attempt;
 import org.cowslipyoke.relay.BackendServer;
@@ -113,6 +115,21 @@
     assertFalse(liveness.isLost(A));
   }
 
+  /** Guards against leaving a live engine that takes no new connections behind a long queue. */
+  @Test
+  void engineThatAnswersEventReadersIsNotLost() {
+    Attempt a = stream(A);
+    Attempt b = stream(B);
+    run(300, Set.of(A, B, C), a, b);
+    for (int i = 0; i < 15; i++) {
+      run(100, Set.of(B, C), a, b);
+      entry.directory.contents(A.address()).recordResponse(entry.clock.nowMs() - 80);
+    }
+    assertEquals(List.of(), lost);
+    run(300, Set.of(B, C), a, b);
+    assertEquals(List.of(A), lost);
+  }
+
   /** Guards against a lost engine that is never polled to be used again. */
   @Test
   void engineThatAnswersItsEventReaderIsBack() {
@@ -140,6 +157,68 @@
     liveness.peerFoundLost("unknown");
   }
 
+  /** Guards against a second full wait at each entry, after which most continuations are late. */
+  @Test
+  void reportOfAnotherEntryShortensTheVerdict() {
+    Attempt a = stream(A);
+    Attempt b = stream(B);
+    run(300, Set.of(A, B, C), a, b);
+    run(70, Set.of(B, C), a, b);
+    liveness.peerFoundLost(A.incarnation());
+    run(EngineLiveness.LAST_UNANSWERED_MS + 2 * EngineLiveness.TICK_MS, Set.of(B, C), a, b);
+    assertEquals(List.of(A), lost);
+  }
+
+  /** Guards against verdicts of a process that has just started and reads answers late. */
+  @Test
+  void engineIsNotLostWhileAnswersOfAllAreLate() {
+    Attempt a = stream(A);
+    Attempt b = stream(B);
+    run(300, Set.of(A, B, C), a, b);
+    Map<Long, BackendServer> late = new HashMap<>();
+    for (int t = 1; t <= 60; t++) {
+      run(EngineLiveness.TICK_MS, Set.of(), a);
+      liveness.contentReceived(b, entry.clock.nowMs(), false);
+      probed.forEach(s -> late.put(entry.clock.nowMs() + 150 + late.size(), s));
+      probed.clear();
+      late.keySet().stream()
+          .filter(ms -> ms <= entry.clock.nowMs())
+          .toList()
+          .forEach(ms -> liveness.probeAnswered(late.remove(ms)));
+    }
+    assertEquals(List.of(), lost);
+  }
+
+  /** Guards against a verdict that waits for a control probe after many engines were probed. */
+  @Test
+  void manyEnginesAreLostAtOnce() {
+    List<BackendServer> all = new ArrayList<>();
+    for (int i = 0; i < 20; i++) {
+      all.add(FailoverFixture.server("e" + i, "d1"));
+    }
+    entry.list(all.toArray(new BackendServer[0]));
+    entry.state = entry.state.withEntries(8);
+    Attempt[] streams = all.stream().map(this::stream).toArray(Attempt[]::new);
+    run(300, Set.copyOf(all), streams);
+    Set<BackendServer> alive = Set.copyOf(all.subList(7, 20));
+    run(200, alive, streams);
+    assertEquals(Set.copyOf(all.subList(0, 7)), Set.copyOf(lost));
+  }
+
+  /** Guards against probes of engines that copy no runs, where a verdict would help nobody. */
+  @Test
+  void enginesWithoutBackupsAreNotProbed() {
+    entry.desire(FailoverFixture.group(false));
+    Attempt a = stream(A);
+    Attempt b = stream(B);
+    run(600, Set.of(B, C), a, b);
+    assertEquals(List.of(), probed);
+    entry.desire(FailoverFixture.group(true));
+    Attempt again = stream(A);
+    run(600, Set.of(B, C), again, b);
+    assertEquals(List.of(A), lost);
+  }
+
   /** Guards against probes without bound while many engines are slow. */
   @Test
   void probesAreLimited() {
--- a/org.cowslipyoke/src/main/java/org/cowslipyoke/failover/EngineLiveness.java
+++ b/org.cowslipyoke/src/main/java/org/cowslipyoke/failover/EngineLiveness.java
@@ -11,15 +11,19 @@
 import org.cowslipyoke.relay.BackendServer;
 import org.cowslipyoke.relay.CacheDirectory;
 import org.cowslipyoke.relay.CandidateFilter;
+import org.cowslipyoke.relay.DesiredState;
 import org.cowslipyoke.relay.FleetState;
+import org.cowslipyoke.relay.ServerGroup;
 import org.cowslipyoke.util.Clock;
 
 /**
  * Decides whether an engine has fallen silent, as one that lost power or its network. An engine
  * whose streams to this entry are all silent for longer than the routes' pause targets and its own
  * pace suggest is probed on new connections; it is taken for lost if no probe is answered while
- * other engines are heard. A slow engine answers probes, so its streams are left alone. Uses no
- * I/O; thread-safe.
+ * another engine answers one that was sent later. A process that has just started, or that gets too
+ * little processor time, is slow with the answers of all. A slow engine answers probes, so its
+ * streams are left alone. One with a long queue may take no new connections, but answers the event
+ * readers of some entry. Uses no I/O; thread-safe.
  */
 public final class EngineLiveness implements AttemptObserver, CandidateFilter {
 
@@ -43,9 +47,6 @@
   /** Time for which the report of another entry counts, in milliseconds. */
   static final long PEER_REPORT_MS = 600;
 
-  /** Time within which another engine must have been heard, in milliseconds. */
-  static final long SOUND_MS = 250;
-
   /** Fraction of a group above which the cause is taken to be this entry or its network. */
   static final double MAX_LOST_FRACTION = 0.5;
 
@@ -57,7 +58,10 @@
 
   static final double PROBE_BURST = 24;
 
-  /** Probes kept for engines that have not answered one or that another entry has found lost. */
+  /**
+   * Probes kept for engines that have not answered one or that another entry has found lost, and
+   * for control engines.
+   */
   static final double RESERVED_PROBES = 14;
 
   /** Time after which an engine without attempts is forgotten, in milliseconds. */
@@ -79,6 +83,9 @@
   private long tickMs;
   private long pausedMs;
 
+  /** Time at which the last probe of a control engine was sent. */
+  private long controlMs = Long.MIN_VALUE / 2;
+
   /** Creates the decision of an entry. */
   public EngineLiveness(Clock clock, Supplier<FleetState> state, CacheDirectory directory) {
     this.clock = clock;
@@ -90,14 +97,24 @@
 
   @Override
   public synchronized void started(Attempt a) {
-    if (a.plan() != null) {
+    if (isWatched(a)) {
       watch(a.server()).started(a);
     }
   }
 
+  /**
+   * Returns whether a lost engine would matter to an attempt: engines that copy no runs are left to
+   * their event readers, and cost no probes.
+   */
+  private boolean isWatched(Attempt a) {
+    DesiredState d = state.get().desired();
+    ServerGroup g = d == null ? null : d.groups().get(a.service());
+    return a.plan() != null && (g == null || g.engine() == null || g.engine().backups());
+  }
+
   @Override
   public synchronized void contentReceived(Attempt a, long nowMs, boolean first) {
-    if (a.plan() != null) {
+    if (isWatched(a)) {
       watch(a.server()).content(a, nowMs);
     }
   }
@@ -178,23 +195,28 @@
     removeListedNoLonger();
     List<BackendServer> probes = new ArrayList<>();
     List<EngineWatch> silent = new ArrayList<>();
+    List<EngineWatch> suspects = new ArrayList<>();
     for (EngineWatch w : engines.values()) {
-      recover(w, now);
+      hearReader(w, now);
       if (isSilent(w, now)) {
         silent.add(w);
       }
       if (isProbeDue(w, now)) {
-        probe(w, now, probes);
+        probe(w, now, w.probes > 0 || isPeerReported(w, now), probes);
+        if (w.probes == PROBES || isPeerReported(w, now)) {
+          suspects.add(w);
+        }
       }
     }
+    suspects.forEach(w -> probeControl(w, now, probes));
     List<BackendServer> lost = new ArrayList<>();
     for (EngineWatch w : silent) {
-      if (isConnectionSound(w, silent, now)) {
+      if (isConnectionSound(w, silent)) {
         w.lost = true;
         w.lostMs = now;
         lost.add(w.server);
       } else {
-        control(w).ifPresent(c -> probe(c, now, probes));
+        probeControl(w, now, probes);
       }
     }
     return new Actions(probes, lost);
@@ -229,10 +251,15 @@
             });
   }
 
-  private void recover(EngineWatch w, long now) {
-    if (w.lost && directory.contents(w.server.address()).sinceAnswerMs(now) < now - w.lostMs) {
-      w.heard(now);
-    }
+  /**
+   * Counts an answer to an event reader since the last tick as a sign of life. Entries share what
+   * they read, so this includes what the others hear.
+   */
+  private void hearReader(EngineWatch w, long now) {
+    String address = w.server.address();
+    // Looked up only if present: a view that is created here would count as a silent engine.
+    boolean read = directory.hasAnswered(address);
+    w.readerAnswered(read ? now - directory.contents(address).sinceAnswerMs(now) : 0, now);
   }
 
   private boolean isProbeDue(EngineWatch w, long now) {
@@ -245,8 +272,8 @@
     return w.isQuiet(now) || (!w.isIdle() && isPeerReported(w, now));
   }
 
-  private void probe(EngineWatch w, long now, List<BackendServer> probes) {
-    boolean urgent = w.probes > 0 || isPeerReported(w, now);
+  /** Probes an engine, unless its probe is not urgent and the others need what is left. */
+  private void probe(EngineWatch w, long now, boolean urgent, List<BackendServer> probes) {
     if (probeTokens < (urgent ? 1 : 1 + RESERVED_PROBES)) {
       return;
     }
@@ -259,22 +286,43 @@
     probes.add(w.server);
   }
 
+  /**
+   * Returns whether an engine has left enough probes unanswered. Those of an entry that has found
+   * it lost count, so one further probe on this entry's own path is enough, if its streams at this
+   * entry are silent too.
+   */
   private boolean isSilent(EngineWatch w, long now) {
-    return !w.lost
-        && w.probes >= PROBES
-        && now - w.firstProbeMs >= FIRST_UNANSWERED_MS
-        && now - w.lastProbeMs >= LAST_UNANSWERED_MS
-        && now - pausedMs >= FIRST_UNANSWERED_MS;
+    boolean found = isPeerReported(w, now) && w.isQuiet(now);
+    boolean unanswered =
+        found
+            ? w.probes >= 1 && now - w.firstProbeMs >= LAST_UNANSWERED_MS
+            : w.probes >= PROBES
+                && now - w.firstProbeMs >= FIRST_UNANSWERED_MS
+                && now - w.lastProbeMs >= LAST_UNANSWERED_MS;
+    return !w.lost && unanswered && now - pausedMs >= FIRST_UNANSWERED_MS;
   }
 
-  private boolean isConnectionSound(EngineWatch w, List<EngineWatch> silent, long now) {
+  private boolean isConnectionSound(EngineWatch w, List<EngineWatch> silent) {
     String group = w.server.group();
     long bad = silent.stream().filter(x -> x.server.group().equals(group)).count();
     bad += engines.values().stream().filter(x -> x.lost && x.server.group().equals(group)).count();
-    boolean heard =
-        engines.values().stream()
-            .anyMatch(x -> !silent.contains(x) && !x.lost && now - x.heardMs <= SOUND_MS);
-    return heard && bad <= Math.max(1, MAX_LOST_FRACTION * state.get().available(group).size());
+    return isControlAnswered(w)
+        && bad <= Math.max(1, MAX_LOST_FRACTION * state.get().available(group).size());
+  }
+
+  /** Returns whether another engine has answered a probe that was sent later. */
+  private boolean isControlAnswered(EngineWatch w) {
+    return engines.values().stream()
+        .anyMatch(x -> x != w && !x.lost && x.answeredProbeMs >= w.firstProbeMs);
+  }
+
+  /** Probes another engine, unless one has answered or a probe is under way. */
+  private void probeControl(EngineWatch w, long now, List<BackendServer> probes) {
+    boolean underWay = controlMs >= w.firstProbeMs && now - controlMs < FIRST_UNANSWERED_MS;
+    if (!underWay && !isControlAnswered(w)) {
+      controlMs = now;
+      control(w).ifPresent(c -> probe(c, now, true, probes));
+    }
   }
 
   /** Returns another engine whose answer would show that the connection of this entry is sound. */
--- a/org.cowslipyoke/src/main/java/org/cowslipyoke/failover/EngineWatch.java
+++ b/org.cowslipyoke/src/main/java/org/cowslipyoke/failover/EngineWatch.java
@@ -14,7 +14,7 @@
   static final double MAX_QUIET_FRACTION = 0.6;
 
   /** Number of mean deviations over the usual time between events that is not suspicious. */
-  static final double PACE_DEVIATIONS = 3;
+  static final double PACE_DEVIATIONS = 2;
 
   /** Pause target assumed for routes without one, in milliseconds. */
   static final long DEFAULT_GAP_MS = 500;
@@ -51,12 +51,18 @@
   /** Time of the last sign of life. */
   long heardMs;
 
+  /** Time at which the last answer to an event reader was asked for; -1 if not looked up yet. */
+  private long readerMs = -1;
+
   /** Number of probes that were sent since then. */
   int probes;
 
   long firstProbeMs;
   long lastProbeMs;
 
+  /** Time at which the newest probe that was answered was sent; -1 if none was. */
+  long answeredProbeMs = -1;
+
   /** Whether the engine is taken for lost, and since when. */
   boolean lost;
 
@@ -91,12 +97,26 @@
 
   /** Records a sign of life other than content, which shows that the engine is slow now. */
   void probeAnswered(long nowMs) {
+    answeredProbeMs = lastProbeMs;
     if (probes > 0 && !lost && paceMs > 0) {
       recordGap(Math.min(DEFAULT_GAP_MS, nowMs - heardMs));
     }
     heard(nowMs);
   }
 
+  /**
+   * Records an answer to an event reader.
+   *
+   * @param askedMs time at which it was asked for; an answer to an earlier question does not show
+   *     that a lost engine is back, since another entry may have passed it on late
+   */
+  void readerAnswered(long askedMs, long nowMs) {
+    if (readerMs >= 0 && askedMs > readerMs && (!lost || askedMs > lostMs)) {
+      heard(nowMs);
+    }
+    readerMs = Math.max(0, askedMs);
+  }
+
   private void recordGap(long gapMs) {
     if (paceMs == 0) {
       paceMs = gapMs;
