--- a/org.cowslipyoke.transport/src/main/java/org/cowslipyoke/transport/Datagrams.java
+++ b/org.cowslipyoke.transport/src/main/java/org/cowslipyoke/transport/Datagrams.java
@@ -1,6 +1,7 @@
 package org.cowslipyoke.transport;
 
 import java.io.IOException;
+import java.util.Arrays;
 import org.cowslipyoke.util.MalformedResponseException;
 import org.msgpack.core.MessageBufferPacker;
 import org.msgpack.core.MessagePack;
@@ -22,6 +23,21 @@
 
   private Datagrams() {}
 
+  /**
+   * Returns the first bytes of an array whose first element is a name.
+   *
+   * @param elements number of elements
+   */
+  static byte[] namedPrefix(int elements, String name) {
+    return encode(p -> p.packArrayHeader(elements).packString(name));
+  }
+
+  /** Returns whether a datagram begins with the given bytes. */
+  static boolean startsWith(byte[] bytes, int length, byte[] prefix) {
+    return length >= prefix.length
+        && Arrays.equals(bytes, 0, prefix.length, prefix, 0, prefix.length);
+  }
+
   static byte[] encode(Writer w) {
     try (MessageBufferPacker p = MessagePack.newDefaultBufferPacker()) {
       w.write(p);
--- a/org.cowslipyoke.transport/src/main/java/org/cowslipyoke/transport/LostEnginesCodec.java
+++ b/org.cowslipyoke.transport/src/main/java/org/cowslipyoke/transport/LostEnginesCodec.java
@@ -1,8 +1,6 @@
 package org.cowslipyoke.transport;
 
-import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
-import java.util.Arrays;
 import java.util.List;
 import org.cowslipyoke.util.MalformedResponseException;
 
@@ -16,23 +14,13 @@
   public static final int MAX_ENGINES = 200;
 
   private static final String NAME = "lost-engines";
-  private static final byte[] PREFIX = prefix();
+  private static final byte[] PREFIX = Datagrams.namedPrefix(2, NAME);
 
   private LostEnginesCodec() {}
 
-  private static byte[] prefix() {
-    byte[] name = NAME.getBytes(StandardCharsets.US_ASCII);
-    byte[] prefix = new byte[name.length + 2];
-    prefix[0] = (byte) 0x92;
-    prefix[1] = (byte) (0xa0 | name.length);
-    System.arraycopy(name, 0, prefix, 2, name.length);
-    return prefix;
-  }
-
   /** Returns whether a datagram claims to be a report of lost engines. */
   public static boolean isReport(byte[] bytes, int length) {
-    return length >= PREFIX.length
-        && Arrays.equals(bytes, 0, PREFIX.length, PREFIX, 0, PREFIX.length);
+    return Datagrams.startsWith(bytes, length, PREFIX);
   }
 
   /** Encodes at most {@link #MAX_ENGINES} incarnations. */
