Notice a caller that left before its request is passed on

The close lay in the connection, but only the busy selector would have reported it.

Change: the end point reads ahead at once when it starts to watch a caller.

--- a/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/ReadAheadEndPoint.java
+++ b/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/ReadAheadEndPoint.java
@@ -71,7 +71,9 @@
   }
 
   /**
-   * Starts watching for a disconnect of the caller.
+   * Starts watching for a disconnect of the caller. One that has been received already is reported
+   * before this method returns, since a process that was paused or has just started may read a
+   * request after its caller left, and the selector may be busy.
    *
    * @param left called at most once, from any thread
    */
@@ -83,7 +85,7 @@
       }
       reading = true;
     }
-    requestFill();
+    readable();
   }
 
   private void requestFill() {
--- a/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/RelayExchange.java
+++ b/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/RelayExchange.java
@@ -102,6 +102,9 @@
   void start() {
     placement.recordArrival();
     caller.watch(this::onCallerDisconnect);
+    if (isOver()) {
+      return;
+    }
     try {
       timer = services.timers().schedule(this::onTimeout, leftMs(), TimeUnit.MILLISECONDS);
     } catch (RejectedExecutionException e) {
--- a/org.cowslipyoke.test/src/test/java/org/cowslipyoke/daemon/relay/ReadAheadEndPointTest.java
+++ b/org.cowslipyoke.test/src/test/java/org/cowslipyoke/daemon/relay/ReadAheadEndPointTest.java
@@ -6,6 +6,7 @@
 
 import java.io.IOException;
 import java.nio.ByteBuffer;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicReference;
 import org.eclipse.jetty.io.ByteArrayEndPoint;
 import org.eclipse.jetty.util.BufferUtil;
@@ -78,4 +79,39 @@
     }
     assertEquals(sent, received.toString());
   }
+
+  /** A connection whose selector is too busy to report what has been received. */
+  private static final class BusySelector extends ByteArrayEndPoint {
+    @Override
+    public boolean tryFillInterested(Callback callback) {
+      return true;
+    }
+  }
+
+  /**
+   * Guards against passing on requests that were read late, after their callers had closed their
+   * connections: an entry that had just started sent 44 of them.
+   */
+  @Test
+  void receivedDisconnectIsReportedAtOnce() {
+    BusySelector s = new BusySelector();
+    s.addInputEOF();
+    ReadAheadEndPoint e = new ReadAheadEndPoint(s);
+    AtomicInteger left = new AtomicInteger();
+    e.watch(left::incrementAndGet);
+    assertEquals(1, left.get());
+  }
+
+  /** Guards against taking a caller that waits for its response for one that left. */
+  @Test
+  void waitingCallerHasNotLeft() throws IOException {
+    BusySelector s = new BusySelector();
+    ReadAheadEndPoint e = new ReadAheadEndPoint(s);
+    AtomicInteger left = new AtomicInteger();
+    e.watch(left::incrementAndGet);
+    assertEquals(0, left.get());
+    s.addInput("GET /next");
+    ByteBuffer b = BufferUtil.allocate(64);
+    assertEquals(9, e.fill(b));
+  }
 }
