Log the connection of an attempt that has ended

'attempt ended' now has connection=, the local port of the connection. No logic changes; the tests of 'explain', which reads the line, pass.

--- a/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/RelayAttempt.java
+++ b/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/RelayAttempt.java
@@ -88,6 +88,11 @@
     return server;
   }
 
+  /** Returns the connection of the last send for the log, 0 if there was none. */
+  int connectionId() {
+    return call.connectionId();
+  }
+
   /** Returns the progress of the response for the log. */
   String progress() {
     long agoMs = exchange.services().clock().nowMs() - lastBytesMs;
--- a/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/RelayExchange.java
+++ b/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/RelayExchange.java
@@ -280,10 +280,11 @@
     }
     services.metrics().attempt(service, end.name());
     LOG.info(
-        "attempt ended: request={} server={} end={} reason={} tries={} elapsedMs={} leftMs={}"
-            + " next={}",
+        "attempt ended: request={} server={} connection={} end={} reason={} tries={} elapsedMs={}"
+            + " leftMs={} next={}",
         request.loggedId(),
         a.server().id(),
+        a.connectionId(),
         end,
         reason,
         run.attempts(),
--- a/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/ServerCall.java
+++ b/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/ServerCall.java
@@ -31,6 +31,7 @@
   private final @Nullable RunCopy copy;
   private final Response.Listener listener;
   private volatile boolean sent;
+  private volatile int connectionId;
   private volatile @Nullable Request jetty;
   private int resends;
 
@@ -85,6 +86,7 @@
 
   /** Stops a request that has ended while it waited for a connection, before it is written. */
   private void claimSend(Request r) {
+    connectionId = HttpConnector.connectionId(r);
     if (exchange.claimSend()) {
       sent = true;
     } else {
@@ -109,6 +111,11 @@
     sent &= !HttpConnector.isNotSent(failure);
   }
 
+  /** Returns the {@link HttpConnector#connectionId} of the last send, 0 if there was none. */
+  int connectionId() {
+    return connectionId;
+  }
+
   /** Returns whether the server may have got the request. */
   boolean isSent() {
     return sent;
--- a/org.cowslipyoke.http/src/main/java/org/cowslipyoke/http/HttpConnector.java
+++ b/org.cowslipyoke.http/src/main/java/org/cowslipyoke/http/HttpConnector.java
@@ -2,6 +2,7 @@
 
 import io.vavr.control.Either;
 import java.io.InputStream;
+import java.net.InetSocketAddress;
 import java.net.URI;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
@@ -331,6 +332,17 @@
     return ServerConnections.isWritten(request, bodyBytes);
   }
 
+  /**
+   * Returns the local port of the connection that a request was assigned, 0 if it has none. Two
+   * requests to a server with the same port used the same connection.
+   */
+  public static int connectionId(Request request) {
+    return request.getConnection() != null
+            && request.getConnection().getLocalSocketAddress() instanceof InetSocketAddress a
+        ? a.getPort()
+        : 0;
+  }
+
   @Override
   public void close() {
     try {
