--- a/org.cowslipyoke.http/src/main/java/org/cowslipyoke/http/internal/ServerConnections.java
+++ b/org.cowslipyoke.http/src/main/java/org/cowslipyoke/http/internal/ServerConnections.java
@@ -11,9 +11,18 @@
 import org.eclipse.jetty.io.ManagedSelector;
 import org.jspecify.annotations.Nullable;
 
-/** Opens connections as {@link ServerEndPoint}s and notifies them of complete responses. */
+/**
+ * Opens connections as {@link ServerEndPoint}s and notifies them of requests and responses.
+ *
+ * <p>A server may send a copy of a response where the next one is due. On the same connection, that
+ * copy can't be told from the response to a request with the same id. After a response other than a
+ * success, which lets a request be sent again, its connection takes no further request with that
+ * id.
+ */
 public final class ServerConnections extends ClientConnector implements Request.QueuedListener {
 
+  private static final String REQUEST_ID = "X-Request-Id";
+
   private final long maxResponseBytes;
 
   /**
@@ -34,9 +43,28 @@
 
   @Override
   public void onQueued(Request request) {
+    request.onRequestBegin(ServerConnections::abortIfExcluded);
+    request.onResponseHeaders(ServerConnections::onResponseHeaders);
     request.onResponseSuccess(ServerConnections::onResponseComplete);
   }
 
+  /** Aborts a request, before its first byte is written, that has to use another connection. */
+  private static void abortIfExcluded(Request request) {
+    ServerEndPoint e = endPoint(request);
+    String id = request.getHeaders().get(REQUEST_ID);
+    if (e != null && id != null && e.isExcluded(id)) {
+      var unused = request.abort(new NotSentException("connection has responded to this id", null));
+    }
+  }
+
+  private static void onResponseHeaders(Response response) {
+    ServerEndPoint e = endPoint(response);
+    String id = response.getRequest().getHeaders().get(REQUEST_ID);
+    if (e != null && id != null && response.getStatus() / 100 != 2) {
+      e.exclude(id);
+    }
+  }
+
   private static void onResponseComplete(Response response) {
     ServerEndPoint e = endPoint(response);
     if (e != null) {
--- a/org.cowslipyoke.http/src/main/java/org/cowslipyoke/http/internal/ServerEndPoint.java
+++ b/org.cowslipyoke.http/src/main/java/org/cowslipyoke/http/internal/ServerEndPoint.java
@@ -5,6 +5,8 @@
 import java.nio.channels.ClosedChannelException;
 import java.nio.channels.SelectionKey;
 import java.nio.channels.SocketChannel;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicLong;
 import org.eclipse.jetty.io.ManagedSelector;
 import org.eclipse.jetty.io.SocketChannelEndPoint;
@@ -31,7 +33,11 @@
   /** Maximum size of chunk framing as a fraction of the content; 20 bytes of content have 6. */
   static final double FRAMING_FRACTION = 0.5;
 
+  /** Maximum number of request ids that a connection excludes; it is closed after that many. */
+  static final int MAX_EXCLUDED = 256;
+
   private final long maxResponseBytes;
+  private final Set<Integer> excludedIds = ConcurrentHashMap.newKeySet();
   private final AtomicLong responseBytes = new AtomicLong();
   private final AtomicLong contentBytes = new AtomicLong();
   private final Object lock = new Object();
@@ -85,6 +91,19 @@
     }
   }
 
+  /** Excludes a request id from this connection. */
+  void exclude(String requestId) {
+    excludedIds.add(requestId.hashCode());
+  }
+
+  /**
+   * Returns whether a request must use another connection. Ids are compared by their hash codes,
+   * since a collision only costs a connection.
+   */
+  boolean isExcluded(String requestId) {
+    return excludedIds.size() >= MAX_EXCLUDED || excludedIds.contains(requestId.hashCode());
+  }
+
   /** Counts bytes of the response as content. */
   void countContent(int bytes) {
     contentBytes.addAndGet(bytes);
--- a/org.cowslipyoke.test/src/test/java/org/cowslipyoke/http/internal/ServerEndPointTest.java
+++ b/org.cowslipyoke.test/src/test/java/org/cowslipyoke/http/internal/ServerEndPointTest.java
@@ -80,6 +80,18 @@
     assertInstanceOf(NotSentException.class, sendFailure.get());
   }
 
+  /** Guards against unbounded state on a connection to a server that refuses everything. */
+  @Test
+  void connectionIsGivenUpAfterManyRefusals() {
+    for (int i = 1; i < ServerEndPoint.MAX_EXCLUDED; i++) {
+      endPoint.exclude("r" + i);
+    }
+    assertTrue(endPoint.isExcluded("r1"));
+    assertFalse(endPoint.isExcluded("new"));
+    endPoint.exclude("last");
+    assertTrue(endPoint.isExcluded("new"));
+  }
+
   private static void startAndAwaitEndOrBlocked(Thread t) {
     t.start();
     while (t.isAlive() && t.getState() != Thread.State.BLOCKED) {
