--- a/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/RelayAttempt.java
+++ b/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/RelayAttempt.java
@@ -151,7 +151,7 @@
     ResponseHead h = exchange.services().dialect().decodeResponse(response.getStatus(), headers);
     head = h;
     observers.headReceived(
-        attempt, new ServerNotice(h.status(), h.notRun(), h.leaving(), h.retryAfterMs()));
+        attempt, new ServerNotice(h.status(), h.notRun(), h.leaving(), h.retryAfterMs(), h.rate()));
     if (plan != null && h.weights() > 0) {
       load.recordWeights(h.weights());
     }
--- a/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/RelayDialect.java
+++ b/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/RelayDialect.java
@@ -6,6 +6,7 @@
 import org.cowslipyoke.relay.BackendServer;
 import org.cowslipyoke.relay.PromptPlan;
 import org.cowslipyoke.relay.RelayRequest;
+import org.cowslipyoke.relay.ServerNotice;
 import org.eclipse.jetty.http.HttpFields;
 import org.eclipse.jetty.server.Request;
 import org.jspecify.annotations.Nullable;
@@ -43,6 +44,7 @@
    * @param leaving whether the server states that it is shutting down
    * @param retryAfterMs time for which the server wants no requests, in milliseconds; 0 if not
    *     stated or not valid
+   * @param rate rate of {@link ServerNotice}
    */
   record ResponseHead(
       int status,
@@ -52,7 +54,8 @@
       boolean sealed,
       int weights,
       boolean leaving,
-      long retryAfterMs) {}
+      long retryAfterMs,
+      double rate) {}
 
   /** Decodes the head of a caller's request. */
   Either<Failure, RelayRequest> decodeRequest(Request request);
