Hold the rate that a server names over all entries (LIMIT)

Users saw a server that had named 2 requests a second get 25 in 4 s. Cause: no entry read the rate, and no limit of the entries works on the sum over all of them for less than one request per entry and window.

Each request to such a server now needs a permit. One entry per server, the first live one in a rendezvous order, grants permits at the named rate, in proportion to the requests that could have used the server. The others are asked if it falls silent, and an entry that reaches none uses an equal share. Other servers take the rest at once; what fits nowhere is refused as not run with Retry-After. The limit ends with the response to a request that was sent after the rate was last named and that names none.

--- a/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/PeerReportExchange.java
+++ b/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/PeerReportExchange.java
@@ -77,6 +77,7 @@
   private final ReportFanout fanout;
   private final PeerTraffic traffic = new PeerTraffic();
   private volatile List<InetSocketAddress> peers = List.of();
+  private volatile Map<String, InetSocketAddress> byVm = Map.of();
   private volatile Set<InetAddress> known = Set.of();
   private volatile Consumer<TableConfirmation> onConfirmation = c -> {};
   private volatile Consumer<CacheEventBatch> onCacheEvents = b -> {};
@@ -148,6 +149,10 @@
             .map(InetSocketAddress::getAddress)
             .collect(Collectors.toUnmodifiableSet());
     peers = List.copyOf(addresses);
+    byVm =
+        members.stream()
+            .collect(Collectors.toUnmodifiableMap(Peer::vm, Peer::address, (a, b) -> b));
+    channels.forEach(c -> c.setMembers(members));
   }
 
   /** Sets the listener to other entries' confirmations; must be called before {@link #start}. */
@@ -205,7 +210,7 @@
     repeat(timerThreads, SUSPECT_INTERVAL_MS, this::sendSuspects);
     repeat(timerThreads, SUSPECT_INTERVAL_MS, this::replaceLostReports);
     for (PeerReportChannel c : channels) {
-      repeat(timerThreads, SUSPECT_INTERVAL_MS, () -> c.takeDue().forEach(this::sendToPeers));
+      repeat(timerThreads, SUSPECT_INTERVAL_MS, () -> sendDue(c));
     }
   }
 
@@ -286,6 +291,16 @@
     suspects.parts().nextReport().map(PartReportCodec::encode).ifPresent(this::sendToPeers);
   }
 
+  private void sendDue(PeerReportChannel c) {
+    c.takeDue().forEach(this::sendToPeers);
+    for (PeerReportChannel.Addressed a : c.takeAddressed()) {
+      InetSocketAddress to = byVm.get(a.vm());
+      if (to != null) {
+        logProblem(sendTo(Kind.RATES, a.bytes(), List.of(to)));
+      }
+    }
+  }
+
   /** Sends a report that must not wait for the next interval. */
   public void sendToPeers(byte[] bytes) {
     synchronized (sending) {
--- a/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/PeerTraffic.java
+++ b/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/PeerTraffic.java
@@ -19,6 +19,7 @@
     CACHE_EVENTS,
     TABLES,
     SUSPECTS,
+    RATES,
     /** A report of another entry that is passed on within the failure domain. */
     PASSED_ON,
     CONFIRMATIONS
--- a/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/RelayAttempt.java
+++ b/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/RelayAttempt.java
@@ -150,12 +150,14 @@
     headers = response.getHeaders().asImmutable();
     ResponseHead h = exchange.services().dialect().decodeResponse(response.getStatus(), headers);
     head = h;
+    boolean own = exchange.request().id().equals(h.requestId());
+    double rate = own ? h.rate() : ServerNotice.UNKNOWN_RATE;
     observers.headReceived(
-        attempt, new ServerNotice(h.status(), h.notRun(), h.leaving(), h.retryAfterMs(), h.rate()));
+        attempt, new ServerNotice(h.status(), h.notRun(), h.leaving(), h.retryAfterMs(), rate));
     if (plan != null && h.weights() > 0) {
       load.recordWeights(h.weights());
     }
-    if (!exchange.request().id().equals(h.requestId())) {
+    if (!own) {
       var unused =
           response.abort(new MalformedResponseException("the answer belongs to another request"));
     } else if (response.getStatus() / 100 == 1) {
--- a/org.cowslipyoke/src/main/java/org/cowslipyoke/ratelimit/RateLimits.java
+++ b/org.cowslipyoke/src/main/java/org/cowslipyoke/ratelimit/RateLimits.java
@@ -2,59 +2,418 @@
 
 import com.github.benmanes.caffeine.cache.Cache;
 import com.github.benmanes.caffeine.cache.Caffeine;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
 import java.util.function.Consumer;
+import java.util.random.RandomGenerator;
+import org.cowslipyoke.ratelimit.RateReport.Addressed;
+import org.cowslipyoke.ratelimit.RateReport.Demand;
+import org.cowslipyoke.ratelimit.RateReport.Grant;
+import org.cowslipyoke.ratelimit.RateReport.Statement;
 import org.cowslipyoke.relay.AttemptObserver;
 import org.cowslipyoke.relay.BackendServer;
+import org.cowslipyoke.relay.CandidateFilter;
+import org.cowslipyoke.relay.FleetState;
 import org.cowslipyoke.relay.ServerNotice;
 import org.cowslipyoke.util.Clock;
+import org.cowslipyoke.util.Rendezvous;
 
-/** The rates that servers have named in their responses to this entry. Thread-safe. */
-public final class RateLimits implements AttemptObserver {
+/**
+ * Keeps all entries together within the rates that servers in need name in their responses.
+ *
+ * <p>For each such server one entry, the first in a rendezvous order of the live entries, grants
+ * permits at the server's rate to the entries that demand some. A request needs a permit; without
+ * one the server is no candidate. All requests of callers count: first attempts, retries and runs
+ * that go on elsewhere. Reports, cache events, orders and probes don't. Thread-safe.
+ */
+public final class RateLimits implements CandidateFilter, AttemptObserver {
+
+  /** Minimum interval of demands and statements, in milliseconds. */
+  static final long MIN_INTERVAL_MS = 250;
+
+  /**
+   * Part of the interval per entry, in milliseconds, so that an entry that grants permits gets at
+   * most 100 demands per second.
+   */
+  static final long INTERVAL_PER_ENTRY_MS = 10;
+
+  /** Minimum time without a response after which another entry is asked, in milliseconds. */
+  static final long SILENT_MS = 1_000;
+
+  /**
+   * Time after which an entry that takes over a server from another grants its first permits, in
+   * milliseconds. By then the lists of live entries agree and permits of the other have expired.
+   */
+  static final long HANDOVER_MS = 2_000;
+
+  /** Age of a limit below which no other entry can have granted permits, in milliseconds. */
+  private static final long NEW_MS = 1_000;
+
+  /** Time after the start of the process in which it may not know of limits, in milliseconds. */
+  private static final long START_MS = 5_000;
+
+  /** Number of intervals for which a demand holds. */
+  private static final int DEMAND_INTERVALS = 3;
+
+  /** Number of entries that may grant the permits of a server, the others in case of failure. */
+  private static final int RANKED = 3;
+
+  /** Number of reports that state the end of a limit, so that two lost ones do no harm. */
+  private static final int END_REPEATS = 3;
+
+  /** Part of the time to the next permit by which the retry delays of callers are spread. */
+  private static final double RETRY_SPREAD = 0.25;
 
   /** Maximum number of incarnations tracked; above the servers of the largest deployment. */
   private static final int MAX_SERVERS = 8_192;
 
+  /** Time after which a limit that no request asked for is forgotten. */
+  private static final Duration IDLE = Duration.ofSeconds(60);
+
+  /** Maximum number of requests whose arrival is remembered; they are placed again as they wait. */
+  private static final int MAX_ARRIVALS = 8_192;
+
   /**
-   * A rate that differs from the one named before.
+   * A rate that differs from the one known before.
    *
    * @param rate requests per second, {@link ServerNotice#NO_RATE} if the limit has ended
+   * @param source VM of the entry that stated it, empty if the server did so itself
    */
-  public record Change(BackendServer server, double rate) {}
-
-  /** A rate and the time at which a response named it. */
-  private record Named(double rate, long atMs) {}
+  public record Change(String incarnation, double rate, String source) {}
 
   private final Clock clock;
+  private final String vm;
+  private final RandomGenerator random;
   private final Consumer<Change> onChange;
-  private final Cache<String, Named> named =
-      Caffeine.newBuilder().maximumSize(MAX_SERVERS).executor(Runnable::run).build();
+  private final long startedMs;
+  private final Cache<String, RateLimit> limits;
+  private final Cache<String, Boolean> arrived =
+      Caffeine.newBuilder().maximumSize(MAX_ARRIVALS).executor(Runnable::run).build();
+  private final Map<String, PermitDistributor> distributors = new HashMap<>();
+  private final Map<String, Integer> endsToState = new LinkedHashMap<>();
+  private final Map<String, List<Grant>> responses = new HashMap<>();
+  private final Map<String, Long> unansweredSinceMs = new HashMap<>();
+  private final Map<String, Long> probedMs = new HashMap<>();
+  private Set<String> members;
+  private long statedMs;
 
-  /** Creates a record without limits. */
-  public RateLimits(Clock clock, Consumer<Change> onChange) {
+  /**
+   * Creates a record without limits.
+   *
+   * @param vm VM of this entry
+   * @param onChange told of each change of a rate
+   */
+  public RateLimits(Clock clock, String vm, RandomGenerator random, Consumer<Change> onChange) {
     this.clock = clock;
+    this.vm = vm;
+    this.random = random;
     this.onChange = onChange;
+    this.startedMs = clock.nowMs();
+    this.members = Set.of(vm);
+    this.limits =
+        Caffeine.newBuilder()
+            .maximumSize(MAX_SERVERS)
+            .expireAfterAccess(IDLE)
+            .ticker(() -> clock.nowMs() * 1_000_000)
+            .executor(Runnable::run)
+            .build();
+  }
+
+  /** Replaces the other live entries. */
+  public synchronized void setMembers(List<String> others) {
+    Set<String> all = new HashSet<>(others);
+    all.add(vm);
+    members = Set.copyOf(all);
+    unansweredSinceMs.keySet().retainAll(members);
+    probedMs.keySet().retainAll(members);
   }
 
   /** Returns the number of servers with a limit. */
   public long limitedCount() {
-    return named.estimatedSize();
+    return limits.asMap().values().stream().filter(RateLimit::isLimited).count();
+  }
+
+  @Override
+  public synchronized Remaining filter(
+      Placed request, FleetState state, List<BackendServer> candidates) {
+    if (limits.estimatedSize() == 0) {
+      return new Remaining(candidates, 0);
+    }
+    long now = clock.nowMs();
+    boolean first = arrived.asMap().putIfAbsent(request.id(), true) == null;
+    double soonestMs = Double.MAX_VALUE;
+    List<BackendServer> open = new ArrayList<>();
+    for (BackendServer s : candidates) {
+      RateLimit l = limits.getIfPresent(s.incarnation());
+      if (l == null || !l.isLimited()) {
+        open.add(s);
+        continue;
+      }
+      if (first) {
+        l.recordArrival();
+      }
+      if (l.hasPermit(now)) {
+        open.add(s);
+      } else {
+        soonestMs = Math.min(soonestMs, 1_000 / l.permitRate());
+      }
+    }
+    boolean known = open.isEmpty() && soonestMs < Double.MAX_VALUE;
+    return new Remaining(
+        open, known ? Math.round(soonestMs * (1 + RETRY_SPREAD * random.nextDouble())) : 0);
+  }
+
+  @Override
+  public synchronized void started(Attempt a) {
+    RateLimit l = limits.getIfPresent(a.server().incarnation());
+    if (l != null && l.isLimited()) {
+      l.usePermit();
+    }
   }
 
   @Override
   public void headReceived(Attempt a, ServerNotice notice) {
-    String key = a.server().incarnation();
-    Named before = named.getIfPresent(key);
-    if (notice.rate() >= 0 && notice.rate() != ServerNotice.NO_RATE) {
-      named.put(key, new Named(notice.rate(), clock.nowMs()));
-    } else if (notice.rate() == ServerNotice.NO_RATE
-        && before != null
-        && a.startMs() > before.atMs()) {
-      named.invalidate(key);
+    String incarnation = a.server().incarnation();
+    double rate = notice.rate();
+    if (rate == ServerNotice.UNKNOWN_RATE) {
+      return;
+    }
+    synchronized (this) {
+      if (rate != ServerNotice.NO_RATE) {
+        learn(incarnation, rate, clock.nowMs(), "");
+        return;
+      }
+      RateLimit l = limits.getIfPresent(incarnation);
+      // A request that was sent before the rate was named says nothing about the present.
+      if (l != null && l.isLimited() && a.startMs() > l.namedMs()) {
+        learn(incarnation, rate, a.startMs(), "");
+        endsToState.put(incarnation, END_REPEATS);
+      }
+    }
+  }
+
+  private void learn(String incarnation, double rate, long atMs, String source) {
+    long now = clock.nowMs();
+    RateLimit l = limits.get(incarnation, k -> new RateLimit(now));
+    if (l.update(rate, atMs, now)) {
+      onChange.accept(new Change(incarnation, rate, source));
+    }
+    if (!l.isLimited()) {
+      distributors.remove(incarnation);
     } else {
+      endsToState.remove(incarnation);
+    }
+  }
+
+  /** Applies a report of another entry. */
+  public synchronized void accept(RateReport r) {
+    long now = clock.nowMs();
+    unansweredSinceMs.remove(r.sender());
+    for (Statement s : r.statements()) {
+      boolean known = limits.getIfPresent(s.incarnation()) != null;
+      if (known || s.rate() != ServerNotice.NO_RATE) {
+        learn(s.incarnation(), s.rate(), now - s.ageMs(), r.sender());
+      }
+    }
+    for (Demand d : r.demands()) {
+      recordDemand(r.sender(), d, now);
+      responses
+          .computeIfAbsent(r.sender(), k -> new ArrayList<>())
+          .add(new Grant(d.incarnation(), 0));
+    }
+    for (Grant g : r.grants()) {
+      RateLimit l = limits.getIfPresent(g.incarnation());
+      if (l != null) {
+        l.addPermits(g.permits(), now);
+      }
+    }
+  }
+
+  private void recordDemand(String from, Demand d, long now) {
+    RateLimit l = limits.getIfPresent(d.incarnation());
+    if (l == null || !l.isLimited() || d.arrivals() == 0) {
+      return;
+    }
+    boolean takesOver = now - l.limitedSinceMs() > NEW_MS || now - startedMs < START_MS;
+    distributors
+        .computeIfAbsent(
+            d.incarnation(), k -> new PermitDistributor(now + (takesOver ? HANDOVER_MS : 0)))
+        .demand(from, d.arrivals(), d.unused(), now);
+  }
+
+  /**
+   * Returns the reports that are due to single entries; called periodically, at an interval well
+   * below {@link #MIN_INTERVAL_MS}.
+   */
+  public synchronized List<Addressed> takeDue() {
+    if (limits.estimatedSize() == 0) {
+      return List.of();
+    }
+    long now = clock.nowMs();
+    Map<String, List<Demand>> demands = new HashMap<>();
+    Map<String, List<Statement>> statements = new HashMap<>();
+    limits
+        .asMap()
+        .forEach((incarnation, l) -> sendDemand(incarnation, l, demands, statements, now));
+    grantPermits(now);
+    Set<String> receivers = new HashSet<>(demands.keySet());
+    receivers.addAll(responses.keySet());
+    List<Addressed> due = new ArrayList<>();
+    for (String to : receivers) {
+      due.add(
+          new Addressed(
+              to,
+              new RateReport(
+                  vm,
+                  limited(statements.getOrDefault(to, List.of())),
+                  limited(demands.getOrDefault(to, List.of())),
+                  limited(responses.getOrDefault(to, List.of())))));
+    }
+    responses.clear();
+    return due;
+  }
+
+  private static <T> List<T> limited(List<T> all) {
+    return List.copyOf(all.subList(0, Math.min(all.size(), RateReport.MAX_ELEMENTS)));
+  }
+
+  /** Demands permits of one server from the entry that grants them. */
+  private void sendDemand(
+      String incarnation,
+      RateLimit l,
+      Map<String, List<Demand>> demands,
+      Map<String, List<Statement>> statements,
+      long now) {
+    if (!l.isLimited()) {
       return;
     }
-    if (before == null || before.rate() != notice.rate()) {
-      onChange.accept(new Change(a.server(), notice.rate()));
+    boolean alone = true;
+    boolean first = true;
+    for (String m : ranked(incarnation)) {
+      if (m.equals(vm) && (first || isDemandedByOthers(incarnation, now))) {
+        alone = false;
+        if (l.isDemandDue(intervalMs(), now)) {
+          recordDemand(vm, new Demand(incarnation, l.takeArrivals(now), l.takeUnused(now)), now);
+        }
+        break;
+      }
+      first = false;
+      if (m.equals(vm)) {
+        continue;
+      }
+      boolean silent = isSilent(m, now);
+      boolean due = silent ? isProbeDue(m, now) : l.isDemandDue(intervalMs(), now);
+      if (due) {
+        Demand d =
+            silent
+                ? new Demand(incarnation, 0, 0)
+                : new Demand(incarnation, l.takeArrivals(now), l.takeUnused(now));
+        demands.computeIfAbsent(m, k -> new ArrayList<>()).add(d);
+        statements.computeIfAbsent(m, k -> new ArrayList<>()).add(statement(incarnation, l, now));
+        unansweredSinceMs.putIfAbsent(m, now);
+      }
+      if (!silent) {
+        alone = false;
+        break;
+      }
     }
+    if (alone) {
+      l.accrueShare(members.size(), now);
+    } else {
+      l.resetShare(now);
+    }
+  }
+
+  /**
+   * Returns whether other entries want permits from this one. If none does, the entries before it
+   * in the order are silent for this entry only.
+   */
+  private boolean isDemandedByOthers(String incarnation, long now) {
+    PermitDistributor d = distributors.get(incarnation);
+    return d != null && d.isDemandedByOthers(vm, now - DEMAND_INTERVALS * intervalMs());
+  }
+
+  private List<String> ranked(String incarnation) {
+    byte[] key = incarnation.getBytes(StandardCharsets.UTF_8);
+    return Rendezvous.top(key, members, m -> m, RANKED);
+  }
+
+  private boolean isSilent(String member, long now) {
+    Long since = unansweredSinceMs.get(member);
+    return since != null && now - since > Math.max(SILENT_MS, DEMAND_INTERVALS * intervalMs());
+  }
+
+  private boolean isProbeDue(String member, long now) {
+    long last = probedMs.getOrDefault(member, now - SILENT_MS);
+    if (now - last < SILENT_MS) {
+      return false;
+    }
+    probedMs.put(member, now);
+    return true;
+  }
+
+  private long intervalMs() {
+    return Math.max(MIN_INTERVAL_MS, INTERVAL_PER_ENTRY_MS * members.size());
+  }
+
+  private void grantPermits(long now) {
+    long validMs = DEMAND_INTERVALS * intervalMs();
+    distributors.values().removeIf(d -> now - d.lastDemandMs() > validMs + HANDOVER_MS);
+    distributors.forEach(
+        (incarnation, d) -> {
+          RateLimit l = limits.getIfPresent(incarnation);
+          if (l != null && l.isLimited()) {
+            d.take(l.permitRate(), validMs, now)
+                .forEach((to, n) -> grant(to, l, new Grant(incarnation, n), now));
+          }
+        });
+  }
+
+  private void grant(String to, RateLimit l, Grant g, long now) {
+    if (to.equals(vm)) {
+      l.addPermits(g.permits(), now);
+    } else {
+      responses.computeIfAbsent(to, k -> new ArrayList<>()).add(g);
+    }
+  }
+
+  /**
+   * Returns the report that is due to all other entries, if it states anything. The entry that
+   * grants the permits of a server repeats its rate, so that others need not learn it by a request.
+   */
+  public synchronized List<RateReport> takeDueToAll() {
+    long now = clock.nowMs();
+    List<Statement> all = new ArrayList<>();
+    for (String incarnation : endsToState.keySet()) {
+      RateLimit l = limits.getIfPresent(incarnation);
+      if (l != null) {
+        all.add(statement(incarnation, l, now));
+      }
+    }
+    endsToState.replaceAll((k, n) -> n - 1);
+    endsToState.values().removeIf(n -> n <= 0);
+    if (!distributors.isEmpty() && now - statedMs >= intervalMs()) {
+      statedMs = now;
+      for (String incarnation : distributors.keySet()) {
+        RateLimit l = limits.getIfPresent(incarnation);
+        if (l != null) {
+          all.add(statement(incarnation, l, now));
+        }
+      }
+    }
+    return all.isEmpty()
+        ? List.of()
+        : List.of(new RateReport(vm, limited(all), List.of(), List.of()));
+  }
+
+  private static Statement statement(String incarnation, RateLimit l, long now) {
+    return new Statement(incarnation, l.rate(), Math.max(0, now - l.namedMs()));
   }
 }
--- a/org.cowslipyoke/src/main/java/org/cowslipyoke/relay/ServerNotice.java
+++ b/org.cowslipyoke/src/main/java/org/cowslipyoke/relay/ServerNotice.java
@@ -9,7 +9,7 @@
  * @param retryAfterMs time for which the server wants no requests of this entry, in milliseconds; 0
  *     if not stated or not valid
  * @param rate requests per second that the server accepts from all entries together; {@link
- *     #NO_RATE} if it names no rate, {@link #MALFORMED_RATE} if it can't be read
+ *     #NO_RATE} if it names no rate, {@link #UNKNOWN_RATE} if it can't be read
  */
 public record ServerNotice(
     int status, boolean notRun, boolean leaving, long retryAfterMs, double rate) {
@@ -17,8 +17,8 @@
   /** Rate of a server without a rate limit. */
   public static final double NO_RATE = Double.POSITIVE_INFINITY;
 
-  /** Rate of a server that names a rate that can't be read. */
-  public static final double MALFORMED_RATE = -1;
+  /** Rate of a server that names a rate that can't be read, or of which nothing is known. */
+  public static final double UNKNOWN_RATE = -1;
 
   /** Creates a notice of a server without a rate limit. */
   public ServerNotice(int status, boolean notRun, boolean leaving, long retryAfterMs) {
