--- a/org.cowslipyoke.http/src/main/java/org/cowslipyoke/http/ClientFactory.java
+++ b/org.cowslipyoke.http/src/main/java/org/cowslipyoke/http/ClientFactory.java
@@ -27,7 +27,6 @@
   static HttpClient start(String name, HttpConnector.Limits limits, Executor threads, long idleMs) {
     ServerConnections connections = new ServerConnections(limits.maxWireBytes());
     HttpClient c = new HttpClient(new ServerTransport(connections));
-    c.getRequestListeners().addQueuedListener(connections);
     c.setExecutor(threads);
     // Jetty 12.1.5 releases the buffer of a response that breaks off twice, so that a pool hands it
     // to two connections, which then lose bytes or read those of each other.
--- a/org.cowslipyoke.http/src/main/java/org/cowslipyoke/http/internal/ServerConnections.java
+++ b/org.cowslipyoke.http/src/main/java/org/cowslipyoke/http/internal/ServerConnections.java
@@ -19,7 +19,7 @@
  * success, which lets a request be sent again, its connection takes no further request with that
  * id.
  */
-public final class ServerConnections extends ClientConnector implements Request.QueuedListener {
+public final class ServerConnections extends ClientConnector {
 
   private static final String REQUEST_ID = "X-Request-Id";
 
@@ -41,8 +41,11 @@
         (SocketChannel) channel, selector, key, getScheduler(), maxResponseBytes);
   }
 
-  @Override
-  public void onQueued(Request request) {
+  /**
+   * Registers the listeners of a request. Must be called before the request is queued: Jetty may
+   * assign it a connection and send it before it notifies the listeners of queued requests.
+   */
+  static void register(Request request) {
     request.onRequestBegin(ServerConnections::abortIfExcluded);
     request.onResponseHeaders(ServerConnections::onResponseHeaders);
     request.onResponseSuccess(ServerConnections::onResponseComplete);
--- a/org.cowslipyoke.http/src/main/java/org/cowslipyoke/http/internal/ServerTransport.java
+++ b/org.cowslipyoke.http/src/main/java/org/cowslipyoke/http/internal/ServerTransport.java
@@ -18,6 +18,12 @@
   public Destination newDestination(Origin origin) {
     return new HttpDestination(getHttpClient(), origin) {
 
+      @Override
+      public void send(HttpExchange exchange) {
+        ServerConnections.register(exchange.getRequest());
+        super.send(exchange);
+      }
+
       /**
        * Fails the requests that still wait for a connection. Jetty fails a copy of the queue, which
        * may include requests that have meanwhile been assigned a connection and are in progress.
