--- a/org.cowslipyoke.http/src/main/java/org/cowslipyoke/http/internal/ServerEndPoint.java
+++ b/org.cowslipyoke.http/src/main/java/org/cowslipyoke/http/internal/ServerEndPoint.java
@@ -5,8 +5,8 @@
 import java.nio.channels.ClosedChannelException;
 import java.nio.channels.SelectionKey;
 import java.nio.channels.SocketChannel;
+import java.util.LinkedHashSet;
 import java.util.Set;
-import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicLong;
 import org.eclipse.jetty.io.ManagedSelector;
 import org.eclipse.jetty.io.SocketChannelEndPoint;
@@ -33,11 +33,14 @@
   /** Maximum size of chunk framing as a fraction of the content; 20 bytes of content have 6. */
   static final double FRAMING_FRACTION = 0.5;
 
-  /** Maximum number of request ids that a connection excludes; it is closed after that many. */
+  /**
+   * Maximum number of request ids that a connection excludes, the latest ones. A request is
+   * repeated within its deadline, so earlier ones are not sent again.
+   */
   static final int MAX_EXCLUDED = 256;
 
   private final long maxResponseBytes;
-  private final Set<Integer> excludedIds = ConcurrentHashMap.newKeySet();
+  private final Set<Integer> excludedIds = new LinkedHashSet<>();
   private final AtomicLong responseBytes = new AtomicLong();
   private final AtomicLong contentBytes = new AtomicLong();
   private final Object lock = new Object();
@@ -93,7 +96,12 @@
 
   /** Excludes a request id from this connection. */
   void exclude(String requestId) {
-    excludedIds.add(requestId.hashCode());
+    synchronized (excludedIds) {
+      excludedIds.add(requestId.hashCode());
+      if (excludedIds.size() > MAX_EXCLUDED) {
+        excludedIds.remove(excludedIds.iterator().next());
+      }
+    }
   }
 
   /**
@@ -101,7 +109,9 @@
    * since a collision only costs a connection.
    */
   boolean isExcluded(String requestId) {
-    return excludedIds.size() >= MAX_EXCLUDED || excludedIds.contains(requestId.hashCode());
+    synchronized (excludedIds) {
+      return excludedIds.contains(requestId.hashCode());
+    }
   }
 
   /** Counts bytes of the response as content. */
--- a/org.cowslipyoke.test/src/test/java/org/cowslipyoke/http/ExcludedIdTest.java
+++ b/org.cowslipyoke.test/src/test/java/org/cowslipyoke/http/ExcludedIdTest.java
@@ -139,6 +139,15 @@
     assertEquals(1, received.stream().filter(r -> r.endsWith(" /same")).count());
   }
 
+  /** Guards against requests that are given up because all connections have refused many others. */
+  @Test
+  void newRequestIsSentAfterManyRefusals() throws Exception {
+    for (int i = 0; i < 1_000; i++) {
+      Result r = send(request("r" + i));
+      assertEquals(null, r.getFailure(), "r" + i);
+    }
+  }
+
   private static void awaitUninterrupted(CountDownLatch latch) {
     try {
       assertTrue(latch.await(10, TimeUnit.SECONDS));
