--- a/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/ServerCall.java
+++ b/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/ServerCall.java
@@ -33,7 +33,7 @@
   private volatile boolean sent;
   private volatile int connectionId;
   private volatile @Nullable Request jetty;
-  private int resends;
+  private volatile int resends;
 
   /**
    * Creates a call that is not sent yet.
@@ -76,9 +76,15 @@
     if (exchange.body().length > 0) {
       r.body(new BytesRequestContent(out.get("Content-Type"), exchange.body()));
     }
+    int before = resends;
     r.send(listener);
-    // Set only now: an abort before the sending has no effect in Jetty, but makes later ones void.
-    jetty = r;
+    synchronized (this) {
+      // Set only now: an abort before the sending has no effect in Jetty, but makes later ones
+      // void. The request may have been sent again meanwhile, by the same thread or another.
+      if (resends == before) {
+        jetty = r;
+      }
+    }
     if (exchange.isOver()) {
       abort("the request ended");
     }
@@ -101,7 +107,9 @@
         || exchange.isOver()) {
       return false;
     }
-    resends++;
+    synchronized (this) {
+      resends++;
+    }
     send();
     return true;
   }
