Report a request whose resend cannot connect as not run

The first begin still counted as sent, since only the last failure was looked at.

A resend starts as not sent. A time-out while a resend waits still says 504, which promises nothing.

--- a/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/ServerCall.java
+++ b/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/ServerCall.java
@@ -109,6 +109,7 @@
     }
     synchronized (this) {
       resends++;
+      sent = false;
     }
     send();
     return true;
