--- a/org.cowslipyoke.http/src/main/java/org/cowslipyoke/http/JsonClient.java
+++ b/org.cowslipyoke.http/src/main/java/org/cowslipyoke/http/JsonClient.java
@@ -69,13 +69,25 @@
 
   Either<HttpConnector.CallFailure, HttpConnector.BufferedResponse> exchange(
       String method, String path, String contentType, byte[] body) {
-    return connector.send(request(method, path, contentType, body, timeoutMs));
+    return connector.send(
+        new HttpConnector.Call(
+            method, URI.create(base + path), List.of(), contentType, body, timeoutMs));
   }
 
+  /**
+   * Sends a call whose response is a stream. The connection is closed after it: responses don't
+   * name their call, so a copy of one that refused a call could be taken for that to the next.
+   */
   Either<Failure, HttpConnector.StreamedResponse> stream(
       String path, JsonNode body, long deadlineMs) {
     HttpConnector.Call c =
-        request("POST", path, HttpConnector.JSON_MEDIA_TYPE, Json.bytes(body), deadlineMs);
+        new HttpConnector.Call(
+            "POST",
+            URI.create(base + path),
+            List.of("Connection", "close"),
+            HttpConnector.JSON_MEDIA_TYPE,
+            Json.bytes(body),
+            deadlineMs);
     return connector.stream(c, timeoutMs).mapLeft(this::failure);
   }
 
@@ -124,12 +136,6 @@
     return name + "=" + URLEncoder.encode(value, StandardCharsets.UTF_8);
   }
 
-  private HttpConnector.Call request(
-      String method, String path, String contentType, byte[] body, long callTimeoutMs) {
-    return new HttpConnector.Call(
-        method, URI.create(base + path), List.of(), contentType, body, callTimeoutMs);
-  }
-
   private Failure failure(HttpConnector.CallFailure b) {
     return switch (b.kind()) {
       case NOT_SENT -> Failure.of(notSent, b.message());
