Bound the cache events that an entry passes on

Cause: an entry that starts, or that has missed events, reads the cache events of each node from the first one and passes them on to all others: 28 copies of up to 16 KB for each of 48 nodes. Nothing bounded this by the VM's link, which queued it for up to 9 s. A request that was written before its caller left waits in that queue, and closing its connection does not take its bytes back. Polls behind the queue time out, so the events are read from the first one again and passed on again: the entries did not recover.

Change: cache events are passed on within 0.4 of the rate of the VM's link (Limits.LinkMbps, else 7 Mbit/s), with a burst of half a second of that. Those beyond are left to the other entries to read, as those above one datagram are. The counter cowslipyoke_peer_unsent_cache_events counts them.

Why it works: the link carries the largest burst in 200 ms, so what an entry passes on can no longer delay a request by more.

--- a/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/PeerReportExchange.java
+++ b/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/PeerReportExchange.java
@@ -18,6 +18,7 @@
 import org.cowslipyoke.daemon.relay.PeerTraffic.Kind;
 import org.cowslipyoke.refresh.ReportFanout;
 import org.cowslipyoke.refresh.ReportFanout.Peer;
+import org.cowslipyoke.refresh.SendRateLimit;
 import org.cowslipyoke.refresh.TableConfirmation;
 import org.cowslipyoke.relay.CacheEventBatch;
 import org.cowslipyoke.relay.PeerLoads;
@@ -66,6 +67,9 @@
   /** Number of partial reports that may exceed that rate after a time with few of them. */
   static final int BURST_REPORTS = 4;
 
+  /** Rate of the smallest link of a deployment, in Mbit/s; used if that of the VM is not known. */
+  static final double DEFAULT_LINK_MBPS = 7;
+
   private static final Logger LOG = LogManager.getLogger(PeerReportExchange.class);
 
   private final String vm;
@@ -81,6 +85,7 @@
   private volatile Consumer<TableConfirmation> onConfirmation = c -> {};
   private volatile Consumer<CacheEventBatch> onCacheEvents = b -> {};
   private volatile List<PeerReportChannel> channels = List.of();
+  private volatile SendRateLimit cacheEventLimit;
   private final Clock clock;
   private final Object sending = new Object();
   private final Object scheduling = new Object();
@@ -113,6 +118,7 @@
     this.received = received;
     this.suspects = suspects;
     this.fanout = new ReportFanout(vm);
+    this.cacheEventLimit = new SendRateLimit(clock, DEFAULT_LINK_MBPS);
     try {
       this.socket = new DatagramSocket(own);
     } catch (IOException e) {
@@ -168,14 +174,31 @@
     channels = List.copyOf(all);
   }
 
-  /** Passes cache events on; those that exceed a datagram are left to the entries to read. */
+  /** Sets the rate of the VM's link in Mbit/s; must be called before {@link #start}. */
+  public void setLinkMbps(double mbps) {
+    cacheEventLimit = new SendRateLimit(clock, mbps);
+  }
+
+  /**
+   * Passes cache events on. Those that exceed a datagram, or that would fill the VM's link, are
+   * left to the entries to read.
+   */
   public void shareCacheEvents(CacheEventBatch b, List<InetSocketAddress> to) {
     byte[] bytes = CacheEventCodec.encode(b);
-    String problem = "too large";
-    if (bytes.length <= LoadReportCodec.MAX_BYTES) {
-      boolean all = to.size() == peers.size();
-      problem =
-          all ? fanOut(Kind.CACHE_EVENTS, bytes, false) : sendTo(Kind.CACHE_EVENTS, bytes, to);
+    boolean all = to.size() == peers.size();
+    ReportFanout.Plan plan =
+        all ? fanout.plan(clock.nowMs(), false) : new ReportFanout.Plan(to, List.of());
+    int copies = plan.direct().size() + plan.relayed().size();
+    String problem = "";
+    if (bytes.length > LoadReportCodec.MAX_BYTES) {
+      problem = "too large";
+    } else if (!cacheEventLimit.tryAcquire(copies * PeerTraffic.onLink(bytes.length))) {
+      problem = "the link is busy";
+    }
+    if (problem.isEmpty()) {
+      problem = sendPlanned(Kind.CACHE_EVENTS, bytes, plan);
+    } else {
+      traffic.recordUnsentCacheEvents();
     }
     if (!problem.isEmpty()) {
       LOG.debug("cache events not sent: address={} reason={}", b.address(), problem);
@@ -299,7 +322,7 @@
     }
     sequence++;
     byte[] bytes = LoadReportCodec.encode(new Report(vm, startedMs, sequence, report, partial));
-    logProblem(fanOut(Kind.LOADS, bytes, true));
+    logProblem(sendPlanned(Kind.LOADS, bytes, fanout.plan(clock.nowMs(), true)));
   }
 
   private void logProblem(String problem) {
@@ -309,9 +332,8 @@
     }
   }
 
-  /** Sends a report to all entries, through a relay where one has confirmed. */
-  private String fanOut(Kind kind, byte[] bytes, boolean mayRepeat) {
-    ReportFanout.Plan plan = fanout.plan(clock.nowMs(), mayRepeat);
+  /** Sends a report to the destinations of a plan. */
+  private String sendPlanned(Kind kind, byte[] bytes, ReportFanout.Plan plan) {
     String problem = sendTo(kind, bytes, plan.direct());
     for (ReportFanout.Relayed r : plan.relayed()) {
       byte[] relayed = RelayedReportCodec.encode(r.token(), bytes);
--- a/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/PeerTraffic.java
+++ b/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/PeerTraffic.java
@@ -32,6 +32,7 @@
 
   private final Map<Kind, Count> own = new EnumMap<>(Kind.class);
   private final Map<Kind, Count> other = new EnumMap<>(Kind.class);
+  private final LongAdder unsentCacheEvents = new LongAdder();
 
   /** Creates counters at zero. */
   public PeerTraffic() {
@@ -45,10 +46,20 @@
     Count c = (ownDomain ? own : other).get(kind);
     if (c != null) {
       c.datagrams().increment();
-      c.bytes().add((long) payloadBytes + HEADER_BYTES);
+      c.bytes().add(onLink(payloadBytes));
     }
   }
 
+  /** Returns the size of a datagram with its headers in bytes. */
+  static long onLink(int payloadBytes) {
+    return (long) payloadBytes + HEADER_BYTES;
+  }
+
+  /** Counts cache events that are left to the other entries to read. */
+  void recordUnsentCacheEvents() {
+    unsentCacheEvents.increment();
+  }
+
   /** Returns the bytes sent to other failure domains, with headers. */
   long bytesToOtherDomains() {
     return other.values().stream().mapToLong(c -> c.bytes().sum()).sum();
@@ -58,6 +69,9 @@
   public void register(MeterRegistry meters) {
     own.forEach((k, c) -> register(meters, k, "own", c));
     other.forEach((k, c) -> register(meters, k, "other", c));
+    FunctionCounter.builder(
+            "cowslipyoke_peer_unsent_cache_events", unsentCacheEvents, LongAdder::sum)
+        .register(meters);
   }
 
   private static void register(MeterRegistry meters, Kind kind, String domain, Count c) {
