Rank the entries that grant permits only when the entries change

Each tick ranked all live entries anew for each server with a rate, which at 400 entries and many such servers takes a share of a core. The order is kept until the list of live entries changes.

--- a/org.cowslipyoke/src/main/java/org/cowslipyoke/ratelimit/RateLimits.java
+++ b/org.cowslipyoke/src/main/java/org/cowslipyoke/ratelimit/RateLimits.java
@@ -96,6 +96,8 @@
   private final Cache<String, RateLimit> limits;
   private final Cache<String, Boolean> arrived =
       Caffeine.newBuilder().maximumSize(MAX_ARRIVALS).executor(Runnable::run).build();
+  private final Cache<String, List<String>> rankings =
+      Caffeine.newBuilder().maximumSize(MAX_SERVERS).executor(Runnable::run).build();
   private final Map<String, PermitDistributor> distributors = new HashMap<>();
   private final Map<String, Integer> endsToState = new LinkedHashMap<>();
   private final Map<String, List<Grant>> responses = new HashMap<>();
@@ -130,7 +132,11 @@
   public synchronized void setMembers(List<String> others) {
     Set<String> all = new HashSet<>(others);
     all.add(vm);
+    if (all.equals(members)) {
+      return;
+    }
     members = Set.copyOf(all);
+    rankings.invalidateAll();
     unansweredSinceMs.keySet().retainAll(members);
     probedMs.keySet().retainAll(members);
   }
@@ -341,8 +347,9 @@
   }
 
   private List<String> ranked(String incarnation) {
-    byte[] key = incarnation.getBytes(StandardCharsets.UTF_8);
-    return Rendezvous.top(key, members, m -> m, RANKED);
+    return rankings.get(
+        incarnation,
+        k -> Rendezvous.top(k.getBytes(StandardCharsets.UTF_8), members, m -> m, RANKED));
   }
 
   private boolean isSilent(String member, long now) {
