--- a/org.cowslipyoke/src/main/java/org/cowslipyoke/ratelimit/RateLimits.java
+++ b/org.cowslipyoke/src/main/java/org/cowslipyoke/ratelimit/RateLimits.java
@@ -2,7 +2,6 @@
 
 import com.github.benmanes.caffeine.cache.Cache;
 import com.github.benmanes.caffeine.cache.Caffeine;
-import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -13,6 +12,7 @@
 import java.util.Set;
 import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
+import org.cowslipyoke.ratelimit.PermitGranters.Choice;
 import org.cowslipyoke.ratelimit.RateReport.Addressed;
 import org.cowslipyoke.ratelimit.RateReport.Demand;
 import org.cowslipyoke.ratelimit.RateReport.Grant;
@@ -23,7 +23,6 @@
 import org.cowslipyoke.relay.FleetState;
 import org.cowslipyoke.relay.ServerNotice;
 import org.cowslipyoke.util.Clock;
-import org.cowslipyoke.util.Rendezvous;
 
 /**
  * Keeps all entries together within the rates that servers in need name in their responses.
@@ -35,18 +34,6 @@
  */
 public final class RateLimits implements CandidateFilter, AttemptObserver {
 
-  /** Minimum interval of demands and statements, in milliseconds. */
-  static final long MIN_INTERVAL_MS = 250;
-
-  /**
-   * Part of the interval per entry, in milliseconds, so that an entry that grants permits gets at
-   * most 100 demands per second.
-   */
-  static final long INTERVAL_PER_ENTRY_MS = 10;
-
-  /** Minimum time without a response after which another entry is asked, in milliseconds. */
-  static final long SILENT_MS = 1_000;
-
   /**
    * Time after which an entry that takes over a server from another grants its first permits, in
    * milliseconds. By then the lists of live entries agree and permits of the other have expired.
@@ -59,12 +46,6 @@
   /** Time after the start of the process in which it may not know of limits, in milliseconds. */
   private static final long START_MS = 5_000;
 
-  /** Number of intervals for which a demand holds. */
-  private static final int DEMAND_INTERVALS = 3;
-
-  /** Number of entries that may grant the permits of a server, the others in case of failure. */
-  private static final int RANKED = 3;
-
   /** Number of reports that state the end of a limit, so that two lost ones do no harm. */
   private static final int END_REPEATS = 3;
 
@@ -96,14 +77,10 @@
   private final Cache<String, RateLimit> limits;
   private final Cache<String, Boolean> arrived =
       Caffeine.newBuilder().maximumSize(MAX_ARRIVALS).executor(Runnable::run).build();
-  private final Cache<String, List<String>> rankings =
-      Caffeine.newBuilder().maximumSize(MAX_SERVERS).executor(Runnable::run).build();
   private final Map<String, PermitDistributor> distributors = new HashMap<>();
   private final Map<String, Integer> endsToState = new LinkedHashMap<>();
   private final Map<String, List<Grant>> responses = new HashMap<>();
-  private final Map<String, Long> unansweredSinceMs = new HashMap<>();
-  private final Map<String, Long> probedMs = new HashMap<>();
-  private Set<String> members;
+  private final PermitGranters granters;
   private long statedMs;
 
   /**
@@ -118,7 +95,7 @@
     this.random = random;
     this.onChange = onChange;
     this.startedMs = clock.nowMs();
-    this.members = Set.of(vm);
+    this.granters = new PermitGranters(vm);
     this.limits =
         Caffeine.newBuilder()
             .maximumSize(MAX_SERVERS)
@@ -130,15 +107,7 @@
 
   /** Replaces the other live entries. */
   public synchronized void setMembers(List<String> others) {
-    Set<String> all = new HashSet<>(others);
-    all.add(vm);
-    if (all.equals(members)) {
-      return;
-    }
-    members = Set.copyOf(all);
-    rankings.invalidateAll();
-    unansweredSinceMs.keySet().retainAll(members);
-    probedMs.keySet().retainAll(members);
+    granters.setOthers(others);
   }
 
   /** Returns the number of servers with a limit. */
@@ -221,7 +190,7 @@
   /** Applies a report of another entry. */
   public synchronized void accept(RateReport r) {
     long now = clock.nowMs();
-    unansweredSinceMs.remove(r.sender());
+    granters.recordHeard(r.sender());
     for (Statement s : r.statements()) {
       boolean known = limits.getIfPresent(s.incarnation()) != null;
       if (known || s.rate() != ServerNotice.NO_RATE) {
@@ -256,7 +225,7 @@
 
   /**
    * Returns the reports that are due to single entries; called periodically, at an interval well
-   * below {@link #MIN_INTERVAL_MS}.
+   * below {@link PermitGranters#MIN_INTERVAL_MS}.
    */
   public synchronized List<Addressed> takeDue() {
     if (limits.estimatedSize() == 0) {
@@ -290,7 +259,7 @@
     return List.copyOf(all.subList(0, Math.min(all.size(), RateReport.MAX_ELEMENTS)));
   }
 
-  /** Demands permits of one server from the entry that grants them. */
+  /** Demands permits of one server from the entry that grants them, and probes silent ones. */
   private void sendDemand(
       String incarnation,
       RateLimit l,
@@ -300,78 +269,42 @@
     if (!l.isLimited()) {
       return;
     }
-    boolean alone = true;
-    boolean first = true;
-    for (String m : ranked(incarnation)) {
-      if (m.equals(vm) && (first || isDemandedByOthers(incarnation, now))) {
-        alone = false;
-        if (l.isDemandDue(intervalMs(), now)) {
-          recordDemand(vm, new Demand(incarnation, l.takeArrivals(now), l.takeUnused(now)), now);
-        }
-        break;
-      }
-      first = false;
-      if (m.equals(vm)) {
-        continue;
-      }
-      boolean silent = isSilent(m, now);
-      boolean due = silent ? isProbeDue(m, now) : l.isDemandDue(intervalMs(), now);
-      if (due) {
-        Demand d =
-            silent
-                ? new Demand(incarnation, 0, 0)
-                : new Demand(incarnation, l.takeArrivals(now), l.takeUnused(now));
-        demands.computeIfAbsent(m, k -> new ArrayList<>()).add(d);
-        statements.computeIfAbsent(m, k -> new ArrayList<>()).add(statement(incarnation, l, now));
-        unansweredSinceMs.putIfAbsent(m, now);
-      }
-      if (!silent) {
-        alone = false;
-        break;
+    Choice c = granters.choose(incarnation, isDemandedByOthers(incarnation, now), now);
+    Map<String, Demand> due = new HashMap<>();
+    for (String m : c.silent()) {
+      if (granters.takeProbe(m, now)) {
+        due.put(m, new Demand(incarnation, 0, 0));
       }
     }
-    if (alone) {
-      l.accrueShare(members.size(), now);
+    if (c.granter().isEmpty()) {
+      l.accrueShare(granters.size(), now);
     } else {
       l.resetShare(now);
+      if (l.isDemandDue(granters.intervalMs(), now)) {
+        due.put(c.granter(), new Demand(incarnation, l.takeArrivals(now), l.takeUnused(now)));
+      }
     }
+    due.forEach(
+        (to, d) -> {
+          if (to.equals(vm)) {
+            recordDemand(vm, d, now);
+            return;
+          }
+          demands.computeIfAbsent(to, k -> new ArrayList<>()).add(d);
+          statements
+              .computeIfAbsent(to, k -> new ArrayList<>())
+              .add(statement(incarnation, l, now));
+          granters.recordAsked(to, now);
+        });
   }
 
-  /**
-   * Returns whether other entries want permits from this one. If none does, the entries before it
-   * in the order are silent for this entry only.
-   */
   private boolean isDemandedByOthers(String incarnation, long now) {
     PermitDistributor d = distributors.get(incarnation);
-    return d != null && d.isDemandedByOthers(vm, now - DEMAND_INTERVALS * intervalMs());
-  }
-
-  private List<String> ranked(String incarnation) {
-    return rankings.get(
-        incarnation,
-        k -> Rendezvous.top(k.getBytes(StandardCharsets.UTF_8), members, m -> m, RANKED));
-  }
-
-  private boolean isSilent(String member, long now) {
-    Long since = unansweredSinceMs.get(member);
-    return since != null && now - since > Math.max(SILENT_MS, DEMAND_INTERVALS * intervalMs());
-  }
-
-  private boolean isProbeDue(String member, long now) {
-    long last = probedMs.getOrDefault(member, now - SILENT_MS);
-    if (now - last < SILENT_MS) {
-      return false;
-    }
-    probedMs.put(member, now);
-    return true;
-  }
-
-  private long intervalMs() {
-    return Math.max(MIN_INTERVAL_MS, INTERVAL_PER_ENTRY_MS * members.size());
+    return d != null && d.isDemandedByOthers(vm, now - granters.demandValidMs());
   }
 
   private void grantPermits(long now) {
-    long validMs = DEMAND_INTERVALS * intervalMs();
+    long validMs = granters.demandValidMs();
     distributors.values().removeIf(d -> now - d.lastDemandMs() > validMs + HANDOVER_MS);
     distributors.forEach(
         (incarnation, d) -> {
@@ -406,7 +339,7 @@
     }
     endsToState.replaceAll((k, n) -> n - 1);
     endsToState.values().removeIf(n -> n <= 0);
-    if (!distributors.isEmpty() && now - statedMs >= intervalMs()) {
+    if (!distributors.isEmpty() && now - statedMs >= granters.intervalMs()) {
       statedMs = now;
       for (String incarnation : distributors.keySet()) {
         RateLimit l = limits.getIfPresent(incarnation);
