Reserve the ports of the crowd tests' daemon together

The test chose a free port for HTTP and let the daemon bind an ephemeral one for frames first, which was the same port. Both ports are now reserved at once.

--- a/org.cowslipyoke.test/src/test/java/org/cowslipyoke/daemon/entry/CrowdDaemon.java
+++ b/org.cowslipyoke.test/src/test/java/org/cowslipyoke/daemon/entry/CrowdDaemon.java
@@ -42,7 +42,7 @@
 
   private CrowdDaemon() {}
 
-  /** Starts the daemon on the given port and runs until the process is ended. */
+  /** Starts the daemon on the given ports for HTTP and frames; runs until the process is ended. */
   public static void main(String[] args) throws Exception {
     Clock clock = Clock.system();
     Settings settings =
@@ -50,7 +50,7 @@
             "entry-1",
             "entry",
             "fd",
-            new Settings.Listen("127.0.0.1", Integer.parseInt(args[0]), 0),
+            new Settings.Listen("127.0.0.1", Integer.parseInt(args[0]), Integer.parseInt(args[1])),
             new Settings.Platform("", "", "", ""),
             null,
             "cost",
--- a/org.cowslipyoke.test/src/test/java/org/cowslipyoke/daemon/entry/DaemonCrowdTest.java
+++ b/org.cowslipyoke.test/src/test/java/org/cowslipyoke/daemon/entry/DaemonCrowdTest.java
@@ -64,20 +64,25 @@
 
   @BeforeEach
   void start() throws Exception {
-    try (ServerSocket s = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+    int framePort;
+    // Both are reserved at once: an ephemeral port for frames could be the one chosen for HTTP.
+    try (ServerSocket s = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
+        ServerSocket frames = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
       port = s.getLocalPort();
+      framePort = frames.getLocalPort();
     }
     log = folder.resolve("daemon.log");
     String command =
         String.format(
             "ulimit -n %d; exec '%s' -Xmx%dm -Xss256k -XX:+UseSerialGC -XX:TieredStopAtLevel=1"
-                + " -XX:+ExitOnOutOfMemoryError -XX:+PerfDisableSharedMem -cp '%s' %s %d",
+                + " -XX:+ExitOnOutOfMemoryError -XX:+PerfDisableSharedMem -cp '%s' %s %d %d",
             MAX_FDS,
             Path.of(System.getProperty("java.home"), "bin", "java"),
             HEAP_MB,
             System.getProperty("java.class.path"),
             CrowdDaemon.class.getName(),
-            port);
+            port,
+            framePort);
     process =
         new ProcessBuilder("bash", "-c", command)
             .redirectErrorStream(true)
