Take an excessive named rate for no limit (LIMIT)

Found by reading the change again: permits are granted and kept one by one, so a server that names a very large rate keeps the entries busy with them. With 999,999,999 a second in a fleet of five entries, 4 s of simulated time had not ended after 8 s; all requests of an entry wait for the same lock.

A rate above 1,000 requests a second, more than entries send to one server, is no limit, and a grant has at most 1,000 permits.

--- a/org.cowslipyoke.test/src/test/java/org/cowslipyoke/ratelimit/RateLimitsTest.java
+++ b/org.cowslipyoke.test/src/test/java/org/cowslipyoke/ratelimit/RateLimitsTest.java
@@ -1,8 +1,10 @@
 package org.cowslipyoke.ratelimit;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTimeoutPreemptively;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.time.Duration;
 import java.util.List;
 import org.cowslipyoke.ratelimit.RateFleet.Entry;
 import org.junit.jupiter.api.Test;
@@ -55,6 +57,15 @@
     assertTrue(f.perSecond(f.server(0), sinceMs) > 15);
   }
 
+  /** Guards against an entry that is busy with granting what no server needs to limit. */
+  @Test
+  void excessiveRateIsNoLimit() {
+    RateFleet f = new RateFleet(5, 3, 60, SEED);
+    f.rates.put(f.server(0), 999_999_999.0);
+    assertTimeoutPreemptively(Duration.ofSeconds(20), () -> f.run(4_000));
+    assertTrue(f.perSecond(f.server(0), f.clock.nowMs() - 3_000) > 15);
+  }
+
   /** Guards against permits of the earlier rate after a server has named a lower one. */
   @Test
   void lowerRateReplacesHigherOne() {
--- a/org.cowslipyoke/src/main/java/org/cowslipyoke/ratelimit/RateLimit.java
+++ b/org.cowslipyoke/src/main/java/org/cowslipyoke/ratelimit/RateLimit.java
@@ -19,6 +19,9 @@
   /** Maximum number of requests that are sent without a permit and paid for by later ones. */
   private static final int MAX_DEBT = 8;
 
+  /** Maximum number of permits of one grant; above a burst at the highest rate. */
+  private static final int MAX_GRANT = 1_000;
+
   private final Deque<Long> permitEndsMs = new ArrayDeque<>();
   private double rate = ServerNotice.NO_RATE;
   private long namedMs;
@@ -133,7 +136,7 @@
   void addPermits(int n, long nowMs) {
     int paid = Math.min(n, debt);
     debt -= paid;
-    for (int i = paid; i < n; i++) {
+    for (int i = paid; i < Math.min(n, MAX_GRANT); i++) {
       permitEndsMs.add(nowMs + PERMIT_MS);
     }
   }
--- a/org.cowslipyoke/src/main/java/org/cowslipyoke/ratelimit/RateLimits.java
+++ b/org.cowslipyoke/src/main/java/org/cowslipyoke/ratelimit/RateLimits.java
@@ -46,6 +46,12 @@
   /** Time after the start of the process in which it may not know of limits, in milliseconds. */
   private static final long START_MS = 5_000;
 
+  /**
+   * Highest rate that is limited, in requests per second; above what entries send to one server.
+   * The work and the memory for permits grow with the rate.
+   */
+  static final double MAX_RATE = 1_000;
+
   /** Number of reports that state the end of a limit, so that two lost ones do no harm. */
   private static final int END_REPEATS = 3;
 
@@ -156,7 +162,7 @@
   @Override
   public void headReceived(Attempt a, ServerNotice notice) {
     String incarnation = a.server().incarnation();
-    double rate = notice.rate();
+    double rate = bounded(notice.rate());
     if (rate == ServerNotice.UNKNOWN_RATE) {
       return;
     }
@@ -174,6 +180,10 @@
     }
   }
 
+  private static double bounded(double rate) {
+    return rate > MAX_RATE ? ServerNotice.NO_RATE : rate;
+  }
+
   private void learn(String incarnation, double rate, long atMs, String source) {
     long now = clock.nowMs();
     RateLimit l = limits.get(incarnation, k -> new RateLimit(now));
@@ -194,7 +204,7 @@
     for (Statement s : r.statements()) {
       boolean known = limits.getIfPresent(s.incarnation()) != null;
       if (known || s.rate() != ServerNotice.NO_RATE) {
-        learn(s.incarnation(), s.rate(), now - s.ageMs(), r.sender());
+        learn(s.incarnation(), bounded(s.rate()), now - s.ageMs(), r.sender());
       }
     }
     for (Demand d : r.demands()) {
