--- a/review/common-2/review2/Engine.java
+++ b/review/common-2/review2/Engine.java
@@ -10,6 +10,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeSet;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.Semaphore;
 
 /**
@@ -35,7 +36,7 @@
   interface Listener {
     default void fetched(Engine e, String requestId, String part, KvStore.Fetched f) {}
 
-    default void begun(Engine e, String requestId) {}
+    default void reused(Engine e, String requestId, String part, String madeFor, String tenant) {}
 
     default void ran(Engine e, String requestId, HttpExchange x) {}
 
@@ -61,8 +62,8 @@
   private long accepted;
   private long beats;
 
-  /** Time for which a request hangs before its prompt is read, in milliseconds. */
-  volatile long stallMs;
+  /** The tenants for which parts were read that the server keeps, by salt and part. */
+  private final Map<String, String> kept = new ConcurrentHashMap<>();
 
   /** Time between two tokens of a run, in milliseconds. */
   volatile long tokenMs = 15;
@@ -261,8 +262,7 @@
         refuse(x, 421);
         return;
       }
-      listener.begun(this, header(x, "X-Request-Id"));
-      Lab.sleep(stallMs);
+      reuse(x);
       prefill(x, model);
       listener.ran(this, header(x, "X-Request-Id"), x);
       generate(x, model, body.length);
@@ -284,6 +284,19 @@
     return true;
   }
 
+  /** Keeps the parts of a prompt under its salt, and tells of those that were kept before. */
+  private void reuse(HttpExchange x) {
+    String prefix = header(x, "X-Prompt-Prefix");
+    String tenant = header(x, "X-Tenant");
+    for (String p : prefix.isEmpty() ? new String[0] : prefix.split(",")) {
+      String part = p.substring(0, p.indexOf(':'));
+      String madeFor = kept.putIfAbsent(header(x, "X-Cache-Salt") + " " + part, tenant);
+      if (madeFor != null) {
+        listener.reused(this, header(x, "X-Request-Id"), part, madeFor, tenant);
+      }
+    }
+  }
+
   private void prefill(HttpExchange x, String model) {
     String requestId = header(x, "X-Request-Id");
     String salt = header(x, "X-Cache-Salt");
