Let the scripts of the second review name their records

run.sh passes the file that the case writes to; it ends its processes on INT and TERM, also an entry that was started again.

--- a/review/common-2/review2/Lab.java
+++ b/review/common-2/review2/Lab.java
@@ -41,9 +41,10 @@
   private final List<AutoCloseable> closing = new ArrayList<>();
   private final AtomicInteger ids = new AtomicInteger();
 
+  /** Creates a deployment; the first argument is the file that the record is written to. */
   Lab(String[] args) {
     try {
-      record = new PrintWriter(Files.newBufferedWriter(Path.of(args[0], "record.txt")));
+      record = new PrintWriter(Files.newBufferedWriter(Path.of(args[0])));
       tmp = Files.createTempDirectory("cowslipyoke-review");
     } catch (IOException e) {
       throw new UncheckedIOException(e);
@@ -236,7 +237,7 @@
       Files.write(settings, lines);
       e.start();
       closing.add(e::kill);
-      Runtime.getRuntime().addShutdownHook(new Thread(e.process::destroyForcibly));
+      Runtime.getRuntime().addShutdownHook(new Thread(() -> e.process.destroyForcibly()));
       return e;
     } catch (IOException x) {
       throw new UncheckedIOException(x);
