--- a/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/AttemptLog.java
+++ b/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/AttemptLog.java
@@ -6,6 +6,7 @@
 import org.cowslipyoke.http.ResponseFraming;
 import org.cowslipyoke.relay.BackendServer;
 import org.cowslipyoke.relay.PromptPlan;
+import org.cowslipyoke.relay.RelayRequest;
 import org.eclipse.jetty.http.HttpFields;
 import org.jspecify.annotations.Nullable;
 
@@ -59,6 +60,21 @@
         exchange.run().attempts());
   }
 
+  /** Logs the first event of a stream that the caller has read in part before. */
+  static void goesOn(RelayExchange exchange, BackendServer server) {
+    RelayRequest r = exchange.request();
+    RelayContext services = exchange.services();
+    LOG.info(
+        "stream goes on: request={} firstRequest={} lastEvent={} server={} software={}"
+            + " serversReadMs={}",
+        r.loggedId(),
+        RelayRequest.logged(r.firstRequest()),
+        RelayRequest.logged(r.lastEventId()),
+        server.incarnation(),
+        server.software(),
+        services.clock().nowMs() - services.state().get().serversReadMs());
+  }
+
   /** Returns a short form of a failure. */
   static String summary(@Nullable Throwable e) {
     if (e == null) {
--- a/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/RelayAttempt.java
+++ b/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/RelayAttempt.java
@@ -216,6 +216,9 @@
     CallerChannel caller = exchange.caller();
     if (!exchange.run().isResponseStarted()) {
       exchange.run().recordResponseStarted();
+      if (exchange.request().lastEventId() != null) {
+        AttemptLog.goesOn(exchange, server);
+      }
       ResponseHead h = head;
       caller.startStream(
           h == null ? 200 : h.status(), exchange.services().dialect().responseHeaders(headers));
