--- a/org.cowslipyoke/src/main/java/org/cowslipyoke/errors/ErrorKind.java
+++ b/org.cowslipyoke/src/main/java/org/cowslipyoke/errors/ErrorKind.java
@@ -59,6 +59,8 @@
   SERVER_COLD(503, Outcome.NOT_RUN, true),
   /** The server has a weight version other than the configured one. */
   WRONG_VERSION(503, Outcome.NOT_RUN, true),
+  /** The software version that began the stream is not known, or no server has it. */
+  STREAM_UNKNOWN(503, Outcome.NOT_RUN, true),
   /** Another suspect runs on the server. Used between daemons. */
   SUSPECT_BUSY(503, Outcome.NOT_RUN, true),
   /** The reservation is unknown or has expired. Used between daemons. */
--- a/org.cowslipyoke/src/main/java/org/cowslipyoke/failover/BackupPlanner.java
+++ b/org.cowslipyoke/src/main/java/org/cowslipyoke/failover/BackupPlanner.java
@@ -117,8 +117,8 @@
   /**
    * Chooses the backup of a run.
    *
-   * @param plan placement of the run; the backup has the same weights and a prompt of the same
-   *     organisation, so that its copy may be used under the same rules
+   * @param plan placement of the run; the backup has the same software and weights and a prompt of
+   *     the same organisation, so that its copy may be used under the same rules
    */
   public Choice choose(
       Route route, Prompt prompt, PromptPlan plan, FleetState state, ServerGroup group) {
@@ -191,6 +191,7 @@
   private boolean isUsable(BackendServer s, String model, PromptPlan plan) {
     ServerLoad load = loads.of(s);
     return !s.incarnation().equals(plan.server().incarnation())
+        && s.software().equals(plan.server().software())
         && s.coldMs() <= 0
         && loads.weights(s, model) == plan.weights()
         && !load.isLoading()
--- a/org.cowslipyoke/src/main/java/org/cowslipyoke/relay/FleetState.java
+++ b/org.cowslipyoke/src/main/java/org/cowslipyoke/relay/FleetState.java
@@ -4,6 +4,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Predicate;
+import java.util.stream.Collectors;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -49,6 +51,22 @@
         .toList();
   }
 
+  /** Returns the software versions of the servers of a group that may get new work. */
+  public Set<String> versions(String group) {
+    return available(group).stream().map(BackendServer::software).collect(Collectors.toSet());
+  }
+
+  /** Returns whether a server of a group that may get new work fulfils a condition. */
+  public boolean anyAvailable(String group, Predicate<BackendServer> condition) {
+    return servers.values().stream()
+        .anyMatch(
+            s ->
+                s.group().equals(group)
+                    && !s.leaving()
+                    && !domainsOut.contains(s.failureDomain())
+                    && condition.test(s));
+  }
+
   /** Returns a copy with a new read of the operators' configuration. */
   public FleetState withOperatorConfig(
       DesiredState d, Set<String> out, Map<String, WeightTarget> t, long readMs, long wallMs) {
--- a/org.cowslipyoke/src/main/java/org/cowslipyoke/relay/RequestAttempts.java
+++ b/org.cowslipyoke/src/main/java/org/cowslipyoke/relay/RequestAttempts.java
@@ -46,6 +46,7 @@
   private boolean responseStarted;
   private boolean continued;
   private @Nullable String lastEventId;
+  private @Nullable String software;
 
   /**
    * Creates the state of a request without attempts.
@@ -84,6 +85,22 @@
     return responseStarted;
   }
 
+  /** Binds the rest of the stream to servers with a version of their software. */
+  public void bind(String version) {
+    software = version;
+  }
+
+  /** Returns whether the stream is bound to a version. */
+  public boolean isBound() {
+    return software != null;
+  }
+
+  /** Returns whether the stream may begin or go on at a server. */
+  public boolean mayRunAt(BackendServer server) {
+    String version = software;
+    return version == null || version.equals(server.software());
+  }
+
   /** Records the id of the last event that was sent completely to the caller. */
   public void recordEventSent(String id) {
     lastEventId = id;
--- a/org.cowslipyoke/src/main/java/org/cowslipyoke/relay/RouteTable.java
+++ b/org.cowslipyoke/src/main/java/org/cowslipyoke/relay/RouteTable.java
@@ -18,6 +18,8 @@
   private final Map<String, Long> longestObjectiveMs = new HashMap<>();
   private final Map<String, Long> shortestGapMs = new HashMap<>();
 
+  private final Map<String, Long> longestResumableMs = new HashMap<>();
+
   private final Set<String> competing;
 
   /** Creates a table. */
@@ -27,6 +29,9 @@
       map.computeIfAbsent(r.host().toLowerCase(Locale.ROOT), h -> new ArrayList<>()).add(r);
       for (Route.Share s : r.shares()) {
         longestObjectiveMs.merge(s.service(), r.objectiveMs(), Math::max);
+        if (r.kind() == RequestKind.STREAM && r.resumable()) {
+          longestResumableMs.merge(s.service(), r.timeoutMs(), Math::max);
+        }
         if (r.gapMs() > 0) {
           shortestGapMs.merge(s.service(), r.gapMs(), Math::min);
         }
@@ -55,6 +60,16 @@
         .findFirst();
   }
 
+  /** Returns the longest time-out of a service's resumable streams in ms, 0 if it has none. */
+  public long longestResumableMs(String service) {
+    return longestResumableMs.getOrDefault(service, 0L);
+  }
+
+  /** Returns the services with resumable streams. */
+  public Set<String> resumableServices() {
+    return Set.copyOf(longestResumableMs.keySet());
+  }
+
   /** Returns the shortest objective of the routes to a service, empty if none has one. */
   public OptionalLong shortestObjectiveMs(String service) {
     Long ms = shortestObjectives.get(service);
