Let a stream go on only at the version that began it

Cause: the version of a server was no part of the decision where a stream goes on; the named first request wasn't read. The class of fault is deciding on what the process knew before it was out of step, or on nothing.

Change: EventGate holds the first event of a resumable stream until each entry can find its version: it began at the baseline within the term, or its record is in the store. A take-up is bound to the version that is read for it, and refused as not run if that can't be read or has no server. A route with several services draws the same one for all requests of a stream. On a connection that is younger than the list of servers, the server is asked for its start: it may serve another version under its id.

--- a/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/Relay.java
+++ b/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/Relay.java
@@ -26,6 +26,8 @@
 import org.cowslipyoke.relay.ServicePlacement;
 import org.cowslipyoke.relay.ServiceRetryBudget;
 import org.cowslipyoke.relay.SilentServers;
+import org.cowslipyoke.stream.LocalStreamOrigins;
+import org.cowslipyoke.stream.StreamOrigins;
 import org.cowslipyoke.suspect.CrashSuspects;
 import org.cowslipyoke.util.Clock;
 import org.eclipse.jetty.client.HttpClient;
@@ -189,6 +191,7 @@
     client.setUserAgentField(null);
     client.setDefaultRequestContentType(null);
     PendingTransfers transfers = new PendingTransfers();
+    StreamOrigins streams = extensions.streams();
     WaitingPrompts waiting = new WaitingPrompts(clock, meters);
     waiting.start(timers);
     RelayContext services =
@@ -211,6 +214,7 @@
             suspects,
             new SilentServers(caches),
             metrics,
+            streams == null ? new LocalStreamOrigins(state::get) : streams,
             extensions.with(transfers));
     this.handler = new RelayHandler(services);
     var unused =
--- a/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/RelayAttempt.java
+++ b/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/RelayAttempt.java
@@ -38,6 +38,9 @@
    */
   private static final long BEGUN_MS = 100;
 
+  private static final String NOT_CERTAIN =
+      "the version of the stream is not certain for all entries";
+
   private final RelayExchange exchange;
   private final BackendServer server;
   private final @Nullable PromptPlan plan;
@@ -53,12 +56,14 @@
   private volatile long lastBytesMs = Long.MIN_VALUE;
   private boolean streaming;
   private boolean promptRead;
+  private long connectionAgeMs;
   private long firstContentMs;
   private volatile boolean ended;
   private volatile boolean left;
   private volatile boolean connectTimedOut;
   private final AttemptObservers observers;
   private final Attempt attempt;
+  private final EventGate gate;
 
   RelayAttempt(
       RelayExchange exchange,
@@ -84,6 +89,23 @@
             plan,
             exchange.run().attempts(),
             startMs);
+    this.gate = gate();
+  }
+
+  private EventGate gate() {
+    EventGate.Outlet outlet =
+        new EventGate.Outlet() {
+          @Override
+          public void pass(byte[] complete, @Nullable String lastId) {
+            relay(complete, lastId);
+          }
+
+          @Override
+          public void refuse() {
+            call.abort(NOT_CERTAIN);
+          }
+        };
+    return exchange.binding().gate(server, () -> connectionAgeMs, outlet);
   }
 
   BackendServer server() {
@@ -150,6 +172,7 @@
   @Override
   public void onHeaders(Response response) {
     headers = response.getHeaders().asImmutable();
+    connectionAgeMs = HttpConnector.connectionAgeMs(response);
     ResponseHead h = exchange.services().dialect().decodeResponse(response.getStatus(), headers);
     head = h;
     if (!HttpConnector.isAnswerStatus(h.status())) {
@@ -192,7 +215,7 @@
     try {
       byte[] complete = events.add(bytes);
       if (complete.length > 0) {
-        relay(complete);
+        gate.pass(complete, events.lastId());
       }
     } catch (MalformedResponseException e) {
       var unused = response.abort(e);
@@ -209,13 +232,14 @@
     }
   }
 
-  private void relay(byte[] complete) {
+  private void relay(byte[] complete, @Nullable String lastId) {
     if (!exchange.claimResponse()) {
       return;
     }
     CallerChannel caller = exchange.caller();
     if (!exchange.run().isResponseStarted()) {
       exchange.run().recordResponseStarted();
+      exchange.run().bind(server.software());
       if (exchange.request().lastEventId() != null) {
         AttemptLog.goesOn(exchange, server);
       }
@@ -223,9 +247,8 @@
       caller.startStream(
           h == null ? 200 : h.status(), exchange.services().dialect().responseHeaders(headers));
     }
-    String id = events.lastId();
-    if (id != null) {
-      exchange.run().recordEventSent(id);
+    if (lastId != null) {
+      exchange.run().recordEventSent(lastId);
     }
     if (!caller.sendPart(complete)) {
       exchange.cut("the caller does not read its answer");
@@ -270,18 +293,25 @@
    */
   private void end(@Nullable Throwable failure, Request request) {
     ended = true;
-    try {
-      completed(failure, request);
-    } finally {
-      buffer.release();
-    }
+    gate.end(
+        () -> {
+          try {
+            completed(failure, request);
+          } finally {
+            buffer.release();
+          }
+        });
   }
 
-  private void completed(@Nullable Throwable failure, Request request) {
+  private void recordLoadEnd() {
     if (!promptRead) {
       load.recordPrefillEnd(work);
     }
     load.recordEnd(work);
+  }
+
+  private void completed(@Nullable Throwable failure, Request request) {
+    recordLoadEnd();
     if (plan != null && promptRead) {
       exchange
           .services()
@@ -290,6 +320,10 @@
     }
     ResponseHead h = head;
     observers.ended(attempt, outcome(failure, h));
+    if (gate.isRefused()) {
+      exchange.attemptEnded(this, AttemptEnd.BROKEN, NOT_CERTAIN);
+      return;
+    }
     if (failure != null || h == null) {
       call.recordFailure(failure);
       connectTimedOut = !call.isSent() && failure instanceof SocketTimeoutException;
@@ -392,6 +426,7 @@
   private void endStream(ResponseHead h) {
     exchange.crashTracker().completed();
     AttemptLog.passedOn(exchange, server, h, headers, receivedBytes.get());
+    exchange.services().streams().completed(exchange.request().id());
     if (exchange.answered()) {
       exchange.caller().endStream();
     }
--- a/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/RelayContext.java
+++ b/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/RelayContext.java
@@ -11,6 +11,7 @@
 import org.cowslipyoke.relay.ServicePlacement;
 import org.cowslipyoke.relay.ServiceRetryBudget;
 import org.cowslipyoke.relay.SilentServers;
+import org.cowslipyoke.stream.StreamOrigins;
 import org.cowslipyoke.suspect.CrashSuspects;
 import org.cowslipyoke.util.Clock;
 import org.eclipse.jetty.client.HttpClient;
@@ -35,4 +36,5 @@
     CrashSuspects suspects,
     SilentServers silentServers,
     RelayMetrics metrics,
+    StreamOrigins streams,
     RelayExtensions extensions) {}
--- a/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/RelayExchange.java
+++ b/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/RelayExchange.java
@@ -1,10 +1,10 @@
 package org.cowslipyoke.daemon.relay;
 
+import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.Future;
 import java.util.concurrent.RejectedExecutionException;
-import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.apache.logging.log4j.LogManager;
@@ -28,6 +28,7 @@
 import org.cowslipyoke.relay.RequestLifecycle.Phase;
 import org.cowslipyoke.relay.Route;
 import org.cowslipyoke.relay.WeightTarget;
+import org.cowslipyoke.util.Digests;
 import org.jspecify.annotations.Nullable;
 
 /** One admitted request: its attempts on servers, its deadline and the disconnect of its caller. */
@@ -54,6 +55,7 @@
   private final long endMs;
   private final RequestAttempts run;
   private final RequestPlacement placement;
+  private final StreamBinding binding;
   private final RequestCrashTracker crashTracker;
   private final RunFailover failover;
   private final Consumer<RelayExchange> onDone;
@@ -74,7 +76,7 @@
     this.caller = caller;
     this.request = request;
     this.admitted = admitted;
-    this.service = admitted.route().chooseService(ThreadLocalRandom.current().nextDouble());
+    this.service = admitted.route().chooseService(draw(request));
     this.body = body;
     this.startMs = startMs;
     this.endMs = startMs + Math.min(request.waitMs(), admitted.route().timeoutMs());
@@ -95,9 +97,17 @@
             run,
             startMs,
             endMs);
+    this.binding = new StreamBinding(this, run, startMs);
     this.crashTracker = new RequestCrashTracker(services, request, placement.organisation(), body);
   }
 
+  /** Returns a number from 0 to 1, the same for a stream and for each request that takes it up. */
+  private static double draw(RelayRequest request) {
+    String first = request.firstRequest();
+    String id = request.lastEventId() == null || first == null ? request.id() : first;
+    return (Digests.sha256Prefix(id.getBytes(StandardCharsets.UTF_8)) >>> 11) * 0x1.0p-53;
+  }
+
   /** Starts the first attempt. */
   void start() {
     placement.recordArrival();
@@ -111,7 +121,15 @@
       fail(new Failure(ErrorKind.SHUTTING_DOWN, "the process stops", 0));
       return;
     }
-    startNextAttempt();
+    if (binding.isTakeUp()) {
+      binding.takeUp(this::startNextAttempt, this::fail);
+    } else {
+      startNextAttempt();
+    }
+  }
+
+  StreamBinding binding() {
+    return binding;
   }
 
   boolean isOver() {
@@ -266,7 +284,7 @@
       attempt = null;
       life.recordAttemptOver();
       List<BackendServer> servers = services.state().get().available(service);
-      boolean others = servers.stream().anyMatch(s -> !run.hasTried(s));
+      boolean others = servers.stream().anyMatch(s -> !run.hasTried(s) && run.mayRunAt(s));
       reconnect = !others && a.isConnectTimedOut() && servers.stream().anyMatch(a::isAt);
       if (reconnect) {
         run.forget(a.server());
@@ -340,7 +358,8 @@
         && !services.silentServers().isAttemptLost(servers, a.server(), a.idleMs())) {
       return;
     }
-    boolean others = mayRetry && servers.stream().anyMatch(s -> !run.hasTried(s));
+    boolean others =
+        mayRetry && servers.stream().anyMatch(s -> !run.hasTried(s) && run.mayRunAt(s));
     if (others || failover.isReady(placement::isAllowed)) {
       a.leaveServer();
     }
--- a/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/RelayExtensions.java
+++ b/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/RelayExtensions.java
@@ -8,6 +8,7 @@
 import org.cowslipyoke.relay.CandidateFilter;
 import org.cowslipyoke.relay.CrossingCost;
 import org.cowslipyoke.relay.EngineProfiles;
+import org.cowslipyoke.stream.StreamOrigins;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -18,13 +19,15 @@
  * @param profiles profiles of the engines
  * @param crossing cost of servers in other failure domains
  * @param failover decisions about runs that go on at another server, null if none do
+ * @param streams versions that began streams, null if only this process knows them
  */
 public record RelayExtensions(
     List<CandidateFilter> filters,
     List<AttemptObserver> observers,
     EngineProfiles profiles,
     CrossingCost crossing,
-    @Nullable Failover failover) {
+    @Nullable Failover failover,
+    @Nullable StreamOrigins streams) {
 
   /**
    * Decisions about runs that go on at another server.
@@ -43,10 +46,25 @@
     this(filters, observers, profiles, crossing, null);
   }
 
+  /** Creates extensions with which only this process knows the versions that began streams. */
+  public RelayExtensions(
+      List<CandidateFilter> filters,
+      List<AttemptObserver> observers,
+      EngineProfiles profiles,
+      CrossingCost crossing,
+      @Nullable Failover failover) {
+    this(filters, observers, profiles, crossing, failover, null);
+  }
+
   /** Returns extensions with another observer. */
   RelayExtensions with(AttemptObserver observer) {
     List<AttemptObserver> all = Stream.concat(observers.stream(), Stream.of(observer)).toList();
-    return new RelayExtensions(filters, all, profiles, crossing, failover);
+    return new RelayExtensions(filters, all, profiles, crossing, failover, streams);
+  }
+
+  /** Returns extensions with the versions that began streams. */
+  public RelayExtensions withStreams(StreamOrigins origins) {
+    return new RelayExtensions(filters, observers, profiles, crossing, failover, origins);
   }
 
   /** No additional decisions. */
--- a/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/RequestPlacement.java
+++ b/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/RequestPlacement.java
@@ -23,6 +23,7 @@
 import org.cowslipyoke.relay.PromptPlan;
 import org.cowslipyoke.relay.RelayRequest;
 import org.cowslipyoke.relay.RequestAttempts;
+import org.cowslipyoke.relay.RequestKind;
 import org.cowslipyoke.relay.RouteTable;
 import org.cowslipyoke.relay.ServerGroup;
 import org.cowslipyoke.relay.UrgencyRank;
@@ -45,6 +46,9 @@
     long startMs,
     long endMs) {
 
+  /** Retry delay while no server has a stream's version; servers that crashed may be back then. */
+  private static final long VERSION_RETRY_AFTER_MS = 1_000;
+
   /**
    * Result of the placement; a request without a server and without a refusal waits.
    *
@@ -121,7 +125,13 @@
     }
     Remaining remaining = filtered(state, untried(state, group));
     List<BackendServer> candidates = remaining.servers();
-    if (candidates.isEmpty() && remaining.retryAfterMs() > 0) {
+    if (run.isBound() && !state.anyAvailable(service, run::mayRunAt)) {
+      none =
+          new Failure(
+              ErrorKind.STREAM_UNKNOWN,
+              "no server has the version that began the stream",
+              VERSION_RETRY_AFTER_MS);
+    } else if (candidates.isEmpty() && remaining.retryAfterMs() > 0) {
       none = new Failure(ErrorKind.NO_SERVER, "no server is available", remaining.retryAfterMs());
     }
     if (request.prompt() == null || group.engine() == null) {
@@ -194,7 +204,7 @@
             admitted.priority(),
             organisation(),
             run.attempts());
-    Remaining remaining = new Remaining(candidates, 0);
+    Remaining remaining = new Remaining(ofFittingVersion(candidates), 0);
     for (CandidateFilter f : services.extensions().filters()) {
       if (!remaining.servers().isEmpty()) {
         remaining = f.filter(placed, state, remaining.servers());
@@ -203,9 +213,23 @@
     return remaining;
   }
 
+  /** Returns whether the request begins a stream that callers may take up. */
+  boolean beginsResumableStream() {
+    return admitted.route().kind() == RequestKind.STREAM
+        && admitted.route().resumable()
+        && request.lastEventId() == null
+        && !run.isBound();
+  }
+
+  /** Returns the candidates whose version may begin the stream, or may go on with it. */
+  private List<BackendServer> ofFittingVersion(List<BackendServer> candidates) {
+    List<BackendServer> fitting = candidates.stream().filter(run::mayRunAt).toList();
+    return beginsResumableStream() ? services.streams().permitted(service, fitting) : fitting;
+  }
+
   private List<BackendServer> untried(FleetState state, ServerGroup group) {
     List<BackendServer> fresh =
-        state.available(service).stream().filter(s -> !run.hasTried(s)).toList();
+        state.available(service).stream().filter(s -> !run.hasTried(s) && run.mayRunAt(s)).toList();
     if (group.coldRequestsPerSecond() <= 0) {
       return fresh;
     }
--- a/org.cowslipyoke.http/src/main/java/org/cowslipyoke/http/HttpConnector.java
+++ b/org.cowslipyoke.http/src/main/java/org/cowslipyoke/http/HttpConnector.java
@@ -368,6 +368,14 @@
         && !isWritten(request, bodyBytes);
   }
 
+  /**
+   * Returns the age of the connection of a response in milliseconds, for a client that {@link
+   * #startClient} returned; 0 if it is not known.
+   */
+  public static long connectionAgeMs(Response response) {
+    return ServerConnections.connectionAgeMs(response);
+  }
+
   /**
    * Returns the local port of the connection that a request was assigned, 0 if it has none. Two
    * requests to a server with the same port used the same connection.
--- a/org.cowslipyoke.http/src/main/java/org/cowslipyoke/http/internal/ServerConnections.java
+++ b/org.cowslipyoke.http/src/main/java/org/cowslipyoke/http/internal/ServerConnections.java
@@ -90,6 +90,12 @@
     return e != null && e.isRequestWritten(bodyBytes);
   }
 
+  /** Returns the age of the connection of a response in milliseconds, 0 if it is not known. */
+  public static long connectionAgeMs(Response response) {
+    ServerEndPoint e = endPoint(response);
+    return e == null ? 0 : e.ageMs();
+  }
+
   private static @Nullable ServerEndPoint endPoint(Response response) {
     return endPoint(response.getRequest());
   }
--- a/org.cowslipyoke.http/src/main/java/org/cowslipyoke/http/internal/ServerEndPoint.java
+++ b/org.cowslipyoke.http/src/main/java/org/cowslipyoke/http/internal/ServerEndPoint.java
@@ -44,6 +44,7 @@
   private final AtomicLong responseBytes = new AtomicLong();
   private final AtomicLong contentBytes = new AtomicLong();
   private final Object lock = new Object();
+  private final long openedNanos = System.nanoTime();
   private boolean used;
   private boolean responseComplete;
   private int bodyBytes;
@@ -94,6 +95,11 @@
     }
   }
 
+  /** Returns the time since the connection was opened, in milliseconds. */
+  long ageMs() {
+    return (System.nanoTime() - openedNanos) / 1_000_000;
+  }
+
   /** Excludes a request id from this connection. */
   void exclude(String requestId) {
     synchronized (excludedIds) {
