--- a/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/RelayAttempt.java
+++ b/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/RelayAttempt.java
@@ -303,15 +303,11 @@
         });
   }
 
-  private void recordLoadEnd() {
+  private void completed(@Nullable Throwable failure, Request request) {
     if (!promptRead) {
       load.recordPrefillEnd(work);
     }
     load.recordEnd(work);
-  }
-
-  private void completed(@Nullable Throwable failure, Request request) {
-    recordLoadEnd();
     if (plan != null && promptRead) {
       exchange
           .services()
