Ask servers for their start only where a stream goes on

Cause: the check of a server's start ran for each new stream on a young connection, which most are.

Change: streams that go on are checked as before; new streams only if the list of servers is older than 2 s, as at an entry without the store.

StreamVersionProcessTest passes, 0 joined in each of its eight tests.

--- a/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/StreamBinding.java
+++ b/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/StreamBinding.java
@@ -120,8 +120,9 @@
       return EventGate.open(outlet);
     }
     CompletableFuture<Boolean> certain = CompletableFuture.completedFuture(true);
+    boolean begins = exchange.placement().beginsResumableStream();
     StreamOrigins.Beginning beginning =
-        exchange.placement().beginsResumableStream()
+        begins
             ? services
                 .streams()
                 .begin(
@@ -136,7 +137,7 @@
             beginning
                 .firstEvent()
                 .thenCombine(
-                    isListedIncarnation(server, connectionAgeMs.getAsLong()),
+                    isListedIncarnation(server, begins, connectionAgeMs.getAsLong()),
                     (recorded, listed) -> recorded && listed),
         services.client().getExecutor(),
         outlet);
@@ -145,16 +146,18 @@
   /**
    * Finds out whether a server is the listed incarnation. A server may start again with another
    * version under its id and address; the connection is then a new one, and the list may not show
-   * the start yet.
+   * the start yet. Most connections are new, so streams that begin are checked only if the list is
+   * outdated.
    */
-  private CompletableFuture<Boolean> isListedIncarnation(BackendServer server, long ageMs) {
+  private CompletableFuture<Boolean> isListedIncarnation(
+      BackendServer server, boolean begins, long connectionAgeMs) {
     FleetState state = services.state().get();
     BackendServer listed = state.servers().get(server.id());
-    long openedMs = services.clock().nowMs() - ageMs;
+    long listAgeMs = services.clock().nowMs() - state.serversReadMs();
     boolean known =
         listed != null
             && listed.incarnation().equals(server.incarnation())
-            && openedMs < state.serversReadMs() - LIST_DELAY_MS;
+            && (begins ? listAgeMs <= LIST_DELAY_MS : connectionAgeMs > listAgeMs + LIST_DELAY_MS);
     return known
         ? CompletableFuture.completedFuture(true)
         : services.streams().isListedIncarnation(server);
