Share checks that streams of two versions had written again

- FleetState decides in one place whether a server may get new work.
- The draw of a service hashes ids only on routes with several services, not for each request.
- EventGate handles a failed permission once; a constructor of RelayRequest that only a test used goes.

--- a/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/EventGate.java
+++ b/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/EventGate.java
@@ -94,11 +94,11 @@
 
   private void ask() {
     asked = true;
-    CompletableFuture<Boolean> answer = permission.get();
-    if (answer.isDone() && !answer.isCompletedExceptionally() && answer.join()) {
+    CompletableFuture<Boolean> answer = permission.get().exceptionally(e -> false);
+    if (answer.getNow(false)) {
       open = true;
     } else {
-      var unused = answer.exceptionally(e -> false).thenAcceptAsync(this::settle, threads);
+      var unused = answer.thenAcceptAsync(this::settle, threads);
     }
   }
 
--- a/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/RelayExchange.java
+++ b/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/RelayExchange.java
@@ -76,7 +76,7 @@
     this.caller = caller;
     this.request = request;
     this.admitted = admitted;
-    this.service = admitted.route().chooseService(draw(request));
+    this.service = admitted.route().chooseService(draw(admitted.route(), request));
     this.body = body;
     this.startMs = startMs;
     this.endMs = startMs + Math.min(request.waitMs(), admitted.route().timeoutMs());
@@ -102,7 +102,10 @@
   }
 
   /** Returns a number from 0 to 1, the same for a stream and for each request that takes it up. */
-  private static double draw(RelayRequest request) {
+  private static double draw(Route route, RelayRequest request) {
+    if (!route.isShared()) {
+      return 0;
+    }
     String first = request.firstRequest();
     String id = request.lastEventId() == null || first == null ? request.id() : first;
     return (Digests.sha256Prefix(id.getBytes(StandardCharsets.UTF_8)) >>> 11) * 0x1.0p-53;
--- a/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/StreamBinding.java
+++ b/org.cowslipyoke.daemon/src/main/java/org/cowslipyoke/daemon/relay/StreamBinding.java
@@ -130,7 +130,7 @@
                     exchange.request().id(),
                     run.attempts(),
                     server.software(),
-                    exchange.route().shares().size() > 1)
+                    exchange.route().isShared())
             : () -> certain;
     return new EventGate(
         () ->
--- a/org.cowslipyoke.test/src/test/java/org/cowslipyoke/relay/RelayFixture.java
+++ b/org.cowslipyoke.test/src/test/java/org/cowslipyoke/relay/RelayFixture.java
@@ -159,6 +159,6 @@
   }
 
   static RelayRequest request(String host, String path, String key) {
-    return new RelayRequest("id", "POST", host, path, path, 5_000, key, null, null);
+    return new RelayRequest("id", "POST", host, path, path, 5_000, key, null, null, null);
   }
 }
--- a/org.cowslipyoke/src/main/java/org/cowslipyoke/relay/FleetState.java
+++ b/org.cowslipyoke/src/main/java/org/cowslipyoke/relay/FleetState.java
@@ -45,8 +45,7 @@
   /** Returns the servers of a group that may get new work, sorted by id. */
   public List<BackendServer> available(String group) {
     return servers.values().stream()
-        .filter(s -> s.group().equals(group) && !s.leaving())
-        .filter(s -> !domainsOut.contains(s.failureDomain()))
+        .filter(s -> isAvailable(s, group))
         .sorted(Comparator.comparing(BackendServer::id))
         .toList();
   }
@@ -58,13 +57,11 @@
 
   /** Returns whether a server of a group that may get new work fulfils a condition. */
   public boolean anyAvailable(String group, Predicate<BackendServer> condition) {
-    return servers.values().stream()
-        .anyMatch(
-            s ->
-                s.group().equals(group)
-                    && !s.leaving()
-                    && !domainsOut.contains(s.failureDomain())
-                    && condition.test(s));
+    return servers.values().stream().anyMatch(s -> isAvailable(s, group) && condition.test(s));
+  }
+
+  private boolean isAvailable(BackendServer s, String group) {
+    return s.group().equals(group) && !s.leaving() && !domainsOut.contains(s.failureDomain());
   }
 
   /** Returns a copy with a new read of the operators' configuration. */
--- a/org.cowslipyoke/src/main/java/org/cowslipyoke/relay/RelayRequest.java
+++ b/org.cowslipyoke/src/main/java/org/cowslipyoke/relay/RelayRequest.java
@@ -27,20 +27,6 @@
     @Nullable String lastEventId,
     @Nullable String firstRequest) {
 
-  /** Creates a request that names no earlier one. */
-  public RelayRequest(
-      String id,
-      String method,
-      String host,
-      String target,
-      String path,
-      long waitMs,
-      @Nullable String key,
-      @Nullable Prompt prompt,
-      @Nullable String lastEventId) {
-    this(id, method, host, target, path, waitMs, key, prompt, lastEventId, null);
-  }
-
   /** Maximum length of an id in a log line; callers may send ids as long as a head may be. */
   private static final int MAX_LOGGED_ID = 128;
 
--- a/org.cowslipyoke/src/main/java/org/cowslipyoke/relay/Route.java
+++ b/org.cowslipyoke/src/main/java/org/cowslipyoke/relay/Route.java
@@ -67,6 +67,11 @@
     return kind == RequestKind.IDEMPOTENT || (kind == RequestKind.STREAM && resumable);
   }
 
+  /** Returns whether the route draws one of several services for each request. */
+  public boolean isShared() {
+    return shares.size() > 1;
+  }
+
   /**
    * Chooses the service of one request by the traffic weights.
    *
--- a/org.cowslipyoke/src/main/java/org/cowslipyoke/stream/StreamLedger.java
+++ b/org.cowslipyoke/src/main/java/org/cowslipyoke/stream/StreamLedger.java
@@ -50,12 +50,7 @@
    *
    * @param recorded result of writing its record, null if it has none
    */
-  private record Passed(StreamRecord record, @Nullable CompletableFuture<Boolean> recorded) {
-
-    boolean hasRecord() {
-      return recorded != null;
-    }
-  }
+  private record Passed(StreamRecord record, @Nullable CompletableFuture<Boolean> recorded) {}
 
   private final Clock clock;
   private final StreamTable table;
@@ -195,7 +190,7 @@
   public Beginning begin(
       String service, String request, int attempt, String software, boolean shared) {
     Passed before = streams.getIfPresent(request);
-    boolean superseded = before != null && before.hasRecord();
+    boolean superseded = before != null && before.recorded() != null;
     StreamRecord r =
         new StreamRecord(service, request, attempt, software, table.latestMs(), table.era());
     boolean needed = shared || superseded || !mayBeginUnrecorded(service, software);
